--- a/src/bin/kitelanding-adapter.rs
+++ b/src/bin/amberspindle-wirehost.rs
@@ -5,9 +5,9 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
-use kitelanding::api::{Action, Micros};
-use kitelanding::brain::Brain;
-use kitelanding::wire::{self, Incoming, Instance, Reader};
+use amberspindle::api::{Action, Micros};
+use amberspindle::brain::Brain;
+use amberspindle::wire::{self, Incoming, Instance, Reader};
 
 /// Hands one event to its instance; the text of a panic is the error.
 fn deliver(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,9 @@
 //! Every decision is made in [`brain`]; [`wire`] only translates a line protocol to and from these types.
 //!
 //! ```
-//! use kitelanding::api::{Action, Event, ListKind, Micros, Request, ServerEntry, ServerState, Settings};
-//! use kitelanding::brain::Brain;
-//! # use kitelanding::api::{Class, Effect, ServerId, SessionId, Text};
+//! use amberspindle::api::{Action, Event, ListKind, Micros, Request, ServerEntry, ServerState, Settings};
+//! use amberspindle::brain::Brain;
+//! # use amberspindle::api::{Class, Effect, ServerId, SessionId, Text};
 //! let mut settings = Settings::new(vec![200.0, 400.0, 800.0], vec![0.3, 0.6, 1.0]);
 //! settings.cells = 3;
 //! settings.racks = 1;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A front for tests: a module, a clock and what it was told to do.
 #![allow(dead_code)] // each test file uses its own part
 
-use kitelanding::api::*;
-use kitelanding::brain::Brain;
+use amberspindle::api::*;
+use amberspindle::brain::Brain;
 
 pub const RUNGS: [f64; 4] = [200.0, 400.0, 800.0, 1600.0];
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The six rules, each kept by one front on its own.
 
 mod common;
+use amberspindle::api::*;
 use common::*;
-use kitelanding::api::*;
 
 #[test]
 fn a_session_without_a_holder_is_refused_before_it_is_due() {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -1,8 +1,8 @@
 //! Decisions under trouble, by the kind of failure.
 
 mod common;
+use amberspindle::api::*;
 use common::*;
-use kitelanding::api::*;
 
 #[test]
 fn viewers_of_a_live_title_join_the_running_stream() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-use kitelanding::api::*;
-use kitelanding::wire::{Batch, Incoming, Reader, print, settings};
+use amberspindle::api::*;
+use amberspindle::wire::{Batch, Incoming, Reader, print, settings};
 use serde_json::{Value, json};
 
 fn read(text: &str) -> Result<Option<Batch>, String> {
@@ -168,7 +168,7 @@
 }
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_kitelanding-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_amberspindle-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
