--- /dev/null
+++ b/src/broker/mod.rs
@@ -0,0 +1,521 @@
+//! The core: requests, attempts and outcomes round the decision module. It knows no wire, no socket and no
+//! clock: it is fed a time and an [`Input`] and gives [`Effect`]s.
+
+mod guard;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+pub use guard::{Guard, History};
+
+use crate::api::*;
+use crate::brain::Brain;
+
+/// A session description, passed on unchanged.
+pub type Description = Arc<[u8]>;
+
+/// How long an attempt that was given up is remembered, so that a late answer is still released.
+const LOOSE_KEPT: Micros = Micros(60_000_000);
+/// How much later an overdue answer is given by the core itself, should the module have kept silent.
+const LAST_CALL: Micros = Micros(5_000);
+
+/// What the core is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// News of the list of servers.
+    Servers {
+        /// What it carries.
+        kind: ListKind,
+        /// The entries.
+        servers: Vec<ServerEntry>,
+    },
+    /// A client asks for a session, with its description.
+    Request(Request, Description),
+    /// A session that plays at a server already.
+    Open(Request, ServerId),
+    /// The client gave the set-up up, or ended its session.
+    Left(SessionId),
+    /// A server answered: the session stands there.
+    Stands {
+        /// The session.
+        id: SessionId,
+        /// The server.
+        server: ServerId,
+        /// Its description.
+        answer: Description,
+    },
+    /// A server, or its connection, ended the attempt or the session.
+    Over {
+        /// The session.
+        id: SessionId,
+        /// The server.
+        server: ServerId,
+        /// How it ended.
+        status: Status,
+        /// The server's report, if one came.
+        load: Load,
+    },
+    /// A note on a session that stands.
+    Note {
+        /// The session.
+        id: SessionId,
+        /// The server.
+        server: ServerId,
+        /// What it tells.
+        note: Note,
+    },
+    /// A server was lost with all that stood there.
+    Lost(ServerId),
+    /// Time has passed.
+    Tick,
+}
+
+/// A set-up on its way to a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SetUp {
+    /// The session.
+    pub id: SessionId,
+    /// Number of the attempt, from 0.
+    pub attempt: u32,
+    /// The server.
+    pub server: ServerId,
+    /// Index of the class.
+    pub class: usize,
+    /// What it wants to watch.
+    pub title: Text,
+    /// The rung; none: the lowest of the class.
+    pub rung: Option<Rung>,
+    /// How long the core waits for the answer.
+    pub wait: Micros,
+    /// The client's description.
+    pub offer: Description,
+}
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// A server or a connection failed it.
+    Attempt,
+    /// Its time ran out.
+    Deadline,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a set-up.
+    SetUp(SetUp),
+    /// Tell a server that an attempt is given up.
+    GiveUp(SessionId, ServerId),
+    /// End a session at its server.
+    Cut(SessionId, ServerId),
+    /// Tell a server the new rung.
+    Rate(SessionId, ServerId, Rung),
+    /// Final answer: the session stands.
+    Plays(SessionId, Description),
+    /// Final answer: coming again does no harm, after so long.
+    Refused(SessionId, Micros),
+    /// Final answer: failed.
+    Failed(SessionId, Failure),
+    /// A session that stood is over.
+    Ended(SessionId, Status),
+    /// A session that stood is moved: its client comes again.
+    Moved(SessionId),
+    /// A line for the log.
+    Log(String),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    Waiting,
+    Trying { server: ServerId, attempt: u32, sent: Micros, until: Micros },
+    Standing { server: ServerId, attempt: u32 },
+}
+
+#[derive(Debug)]
+struct Session {
+    class: usize,
+    title: Text,
+    due: Micros,
+    offer: Description,
+    stage: Stage,
+    rung: Option<Rung>,
+    history: History,
+    late: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Module(u64),
+    Attempt(SessionId, u32),
+    LastCall(SessionId),
+    Forget(SessionId, ServerId),
+}
+
+/// The core of one playback broker.
+pub struct Broker {
+    brain: Brain,
+    guard: Guard,
+    classes: Vec<crate::api::Effect>,
+    cap: u32,
+    sessions: BTreeMap<SessionId, Session>,
+    /// Attempts that were given up and may still be answered.
+    loose: BTreeSet<(SessionId, ServerId)>,
+    alarms: BTreeSet<(Micros, Alarm)>,
+    pending: VecDeque<Event>,
+}
+
+impl Broker {
+    /// A core that knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64) -> Broker {
+        Broker {
+            classes: settings.classes.iter().map(|c| c.effect).collect(),
+            cap: settings.max_attempts,
+            brain: Brain::new(settings, seed),
+            guard: Guard::default(),
+            sessions: BTreeMap::new(),
+            loose: BTreeSet::new(),
+            alarms: BTreeSet::new(),
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// When it next wants [`Input::Tick`].
+    pub fn next_alarm(&self) -> Option<Micros> {
+        self.alarms.first().map(|(at, _)| *at)
+    }
+
+    /// Whether a session stands at a server.
+    pub fn stands(&self, id: SessionId, at: &ServerId) -> bool {
+        let stage = self.sessions.get(&id).map(|s| &s.stage);
+        matches!(stage, Some(Stage::Standing { server, .. }) if server == at)
+    }
+
+    /// Whether the session is known: unanswered, or standing.
+    pub fn knows(&self, id: SessionId) -> bool {
+        self.sessions.contains_key(&id)
+    }
+
+    /// Whether no attempt of an unanswered session can have run or be out.
+    pub fn untried(&self, id: SessionId) -> bool {
+        self.sessions.get(&id).is_some_and(|s| !s.history.out && !s.history.may_have_run)
+    }
+
+    /// Requests that are still owed an answer.
+    pub fn unanswered(&self) -> usize {
+        self.sessions.values().filter(|s| !matches!(s.stage, Stage::Standing { .. })).count()
+    }
+
+    /// Sessions that stand.
+    pub fn standing(&self) -> usize {
+        self.sessions.len() - self.unanswered()
+    }
+
+    /// Whether any session stands at a server.
+    pub fn stands_any(&self, at: &ServerId) -> bool {
+        let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
+        self.sessions.values().any(there)
+    }
+
+    /// Takes one input in and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Servers { kind, servers } => {
+                self.guard.listed(kind, &servers);
+                self.pending.push_back(Event::Members { kind, servers });
+            }
+            Input::Request(request, offer) => self.request(now, request, offer, out),
+            Input::Open(request, server) => self.open(request, server),
+            Input::Left(id) => self.left(id, out),
+            Input::Stands { id, server, answer } => self.stood(now, id, server, answer, out),
+            Input::Over { id, server, status, load } => self.over(now, id, server, status, load, out),
+            Input::Note { id, server, note } => {
+                if self.stands(id, &server) {
+                    if let (Note::Rung(rung), Some(s)) = (note, self.sessions.get_mut(&id)) {
+                        s.rung = Some(rung);
+                    }
+                    self.pending.push_back(Event::Note { id, server, note });
+                }
+            }
+            Input::Lost(server) => {
+                let there =
+                    |s: &Session| matches!(&s.stage, Stage::Standing { server: at, .. } if *at == server);
+                let ids: Vec<SessionId> =
+                    self.sessions.iter().filter(|(_, s)| there(s)).map(|(id, _)| *id).collect();
+                for id in ids {
+                    self.over(now, id, server.clone(), Status::Reset, Load::default(), out);
+                }
+            }
+            Input::Tick => {}
+        }
+        self.run(now, out);
+        while let Some((at, _)) = self.alarms.first()
+            && *at <= now
+            && let Some((_, alarm)) = self.alarms.pop_first()
+        {
+            self.alarm(now, alarm, out);
+            self.run(now, out);
+        }
+    }
+
+    /// Feeds the module until it has nothing more to hear.
+    fn run(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some(event) = self.pending.pop_front() {
+            let mut actions = Vec::new();
+            self.brain.handle(now, event, &mut actions);
+            for action in actions {
+                self.act(now, action, out);
+            }
+        }
+    }
+
+    fn request(&mut self, now: Micros, request: Request, offer: Description, out: &mut Vec<Effect>) {
+        if self.sessions.contains_key(&request.id) {
+            return;
+        }
+        if request.class >= self.classes.len() {
+            out.push(Effect::Refused(request.id, Micros(0)));
+            return;
+        }
+        let (id, class, title, due) = (request.id, request.class, request.title.clone(), request.due);
+        let (stage, rung, history, late) = (Stage::Waiting, None, History::default(), due <= now);
+        self.sessions.insert(id, Session { class, title, due, offer, stage, rung, history, late });
+        self.alarms.insert((due + LAST_CALL, Alarm::LastCall(id)));
+        self.pending.push_back(Event::Request(request));
+    }
+
+    fn open(&mut self, request: Request, server: ServerId) {
+        let id = request.id;
+        // A client may name what is held already.
+        if self.sessions.contains_key(&id) || request.class >= self.classes.len() {
+            return;
+        }
+        let (class, title, due) = (request.class, request.title.clone(), request.due);
+        let stage = Stage::Standing { server: server.clone(), attempt: 0 };
+        let history = History { attempts: 1, may_have_run: true, out: false };
+        let offer = Description::from(&[][..]);
+        let rung = None;
+        self.sessions.insert(id, Session { class, title, due, offer, stage, rung, history, late: false });
+        self.pending.push_back(Event::Open { request, server });
+    }
+
+    /// Gives the attempt that is out up; the module hears of it as cancelled.
+    fn drop_attempt(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        status: Status,
+        closed: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Stage::Trying { server, attempt, sent, .. } = s.stage.clone() else { return };
+        s.stage = Stage::Waiting;
+        s.history.ended(status);
+        // An answer may be on its way: whatever stands there after all must be released, not left playing.
+        self.loose.insert((id, server.clone()));
+        self.alarms.insert((now + LOOSE_KEPT, Alarm::Forget(id, server.clone())));
+        out.push(Effect::GiveUp(id, server.clone()));
+        let (took, load) = (now - sent, Load::default());
+        self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
+    }
+
+    fn left(&mut self, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        match s.stage.clone() {
+            Stage::Waiting => self.pending.push_back(Event::Gone(id)),
+            Stage::Trying { sent, .. } => {
+                self.pending.push_back(Event::Gone(id));
+                self.drop_attempt(sent, id, Status::Cancelled, true, out);
+            }
+            Stage::Standing { server, attempt } => {
+                out.push(Effect::Cut(id, server.clone()));
+                self.cancelled(id, attempt, server);
+            }
+        }
+        self.sessions.remove(&id);
+    }
+
+    fn cancelled(&mut self, id: SessionId, attempt: u32, server: ServerId) {
+        let (status, took, load) = (Status::Cancelled, Micros(0), Load::default());
+        self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed: true, load });
+    }
+
+    fn stood(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        at: ServerId,
+        answer: Description,
+        out: &mut Vec<Effect>,
+    ) {
+        let waited = self.sessions.get_mut(&id).and_then(|s| match s.stage.clone() {
+            Stage::Trying { server, attempt, sent, .. } if server == at => Some((s, attempt, sent)),
+            _ => None,
+        });
+        if let Some((s, attempt, sent)) = waited {
+            s.stage = Stage::Standing { server: at.clone(), attempt };
+            s.history.ended(Status::Completed);
+            out.push(Effect::Plays(id, answer));
+            self.pending.push_back(Event::First { id, attempt, server: at, took: now - sent });
+        } else if !self.stands(id, &at) {
+            // A late answer of an attempt that was given up: nobody waits for it.
+            self.loose.remove(&(id, at.clone()));
+            out.push(Effect::Cut(id, at));
+        }
+    }
+
+    fn over(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        at: ServerId,
+        status: Status,
+        load: Load,
+        out: &mut Vec<Effect>,
+    ) {
+        self.loose.remove(&(id, at.clone()));
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        match s.stage.clone() {
+            Stage::Trying { server, attempt, sent, .. } if server == at => {
+                s.stage = Stage::Waiting;
+                s.history.ended(status);
+                let took = now - sent;
+                self.pending.push_back(Event::Outcome {
+                    id,
+                    attempt,
+                    server,
+                    status,
+                    took,
+                    closed: false,
+                    load,
+                });
+            }
+            Stage::Standing { server, attempt } if server == at => {
+                self.sessions.remove(&id);
+                out.push(Effect::Ended(id, status));
+                let (took, closed) = (Micros(0), true);
+                self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
+            }
+            _ => {}
+        }
+    }
+
+    fn alarm(&mut self, now: Micros, alarm: Alarm, out: &mut Vec<Effect>) {
+        match alarm {
+            Alarm::Module(token) => self.pending.push_back(Event::Timer(token)),
+            Alarm::Attempt(id, attempt) => {
+                let stage = self.sessions.get(&id).map(|s| &s.stage);
+                if matches!(stage, Some(Stage::Trying { attempt: a, until, .. }) if *a == attempt && *until <= now)
+                {
+                    if let Some(s) = self.sessions.get_mut(&id) {
+                        s.late = now >= s.due;
+                    }
+                    self.drop_attempt(now, id, Status::TimedOut, false, out);
+                }
+            }
+            Alarm::LastCall(id) => {
+                // No request may be left without its answer, even if the module forgot it.
+                let owed = self.sessions.get(&id).is_some_and(|s| !matches!(s.stage, Stage::Standing { .. }));
+                if owed {
+                    self.pending.push_back(Event::Gone(id));
+                    self.fail(now, id, Failure::Deadline, out);
+                }
+            }
+            Alarm::Forget(id, server) => {
+                self.loose.remove(&(id, server));
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(now, id, server, timeout, out),
+            Action::Refuse { id, retry_after } => self.refuse(now, id, retry_after, out),
+            Action::Fail(id) => {
+                let late = self.sessions.get(&id).is_some_and(|s| s.late || now + Micros(100_000) >= s.due);
+                self.fail(now, id, if late { Failure::Deadline } else { Failure::Attempt }, out);
+            }
+            Action::Cancel { id, attempt } => {
+                let stage = self.sessions.get(&id).map(|s| &s.stage);
+                if matches!(stage, Some(Stage::Trying { attempt: a, .. }) if *a == attempt) {
+                    self.drop_attempt(now, id, Status::Cancelled, false, out);
+                }
+            }
+            Action::Move(id) => {
+                if let Some(Stage::Standing { server, attempt }) =
+                    self.sessions.get(&id).map(|s| s.stage.clone())
+                {
+                    self.sessions.remove(&id);
+                    out.push(Effect::Moved(id));
+                    out.push(Effect::Cut(id, server.clone()));
+                    self.cancelled(id, attempt, server);
+                }
+            }
+            Action::Rate { id, rung } => {
+                let Some(s) = self.sessions.get_mut(&id) else { return };
+                let changed = s.rung.replace(rung) != Some(rung);
+                match &s.stage {
+                    // A set-up carries its rung; later ones are told apart.
+                    Stage::Trying { server, .. } | Stage::Standing { server, .. } if changed => {
+                        out.push(Effect::Rate(id, server.clone(), rung));
+                    }
+                    _ => {}
+                }
+            }
+            Action::Timer { token, delay } => {
+                self.alarms.insert((now + delay, Alarm::Module(token)));
+            }
+            Action::Log(text) => out.push(Effect::Log(text)),
+            // Probes and messages between brokers are ruled out; the list comes unasked; connections to
+            // servers are few and close by themselves.
+            Action::Probe(_) | Action::Tell { .. } | Action::Close(_) | Action::Watch(_) | Action::Fetch => {}
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: SessionId, server: ServerId, timeout: Micros, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let attempt = s.history.attempts;
+        let may = self.guard.may_send(&server, self.cap, s.due, now, self.classes[s.class], s.history);
+        if !may || !matches!(s.stage, Stage::Waiting) {
+            s.history.attempts += 1;
+            let (status, load) = (Status::Moot, Load::default());
+            let took = Micros(0);
+            self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed: false, load });
+            return;
+        }
+        s.history.attempts += 1;
+        s.history.out = true;
+        let until = if timeout == Micros(0) { s.due } else { (now + timeout).min(s.due) };
+        s.stage = Stage::Trying { server: server.clone(), attempt, sent: now, until };
+        // The server has begun to forget an earlier attempt of this session there, if there was one.
+        self.loose.remove(&(id, server.clone()));
+        self.alarms.insert((until, Alarm::Attempt(id, attempt)));
+        let (class, title, rung, offer) = (s.class, s.title.clone(), s.rung, s.offer.clone());
+        let wait = until - now;
+        out.push(Effect::SetUp(SetUp { id, attempt, server, class, title, rung, wait, offer }));
+    }
+
+    fn refuse(&mut self, now: Micros, id: SessionId, wait: Micros, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        if matches!(s.stage, Stage::Standing { .. }) {
+            return;
+        }
+        if !Guard::may_refuse(self.classes[s.class], s.history) {
+            return self.fail(now, id, Failure::Attempt, out);
+        }
+        out.push(Effect::Refused(id, wait));
+        self.drop_attempt(now, id, Status::Cancelled, true, out);
+        self.sessions.remove(&id);
+    }
+
+    fn fail(&mut self, now: Micros, id: SessionId, why: Failure, out: &mut Vec<Effect>) {
+        match self.sessions.get(&id).map(|s| &s.stage) {
+            None | Some(Stage::Standing { .. }) => return,
+            Some(Stage::Waiting | Stage::Trying { .. }) => {}
+        }
+        out.push(Effect::Failed(id, why));
+        self.drop_attempt(now, id, Status::Cancelled, true, out);
+        self.sessions.remove(&id);
+    }
+}
--- /dev/null
+++ b/src/http/head.rs
@@ -0,0 +1,139 @@
+//! Heads of messages, parsed where they lie.
+
+use super::{HttpError, LARGEST_HEAD};
+
+/// A start line and headers that still lie in the buffer they came in.
+#[derive(Clone, Debug)]
+pub struct Head<'a> {
+    /// The three parts of the start line.
+    pub start: [&'a str; 3],
+    headers: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Head<'a> {
+    /// Finds a whole head at the front of the bytes; gives it with its length.
+    pub fn parse(bytes: &'a [u8]) -> Result<Option<(Head<'a>, usize)>, HttpError> {
+        let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+            return if bytes.len() > LARGEST_HEAD { Err(HttpError::HeadTooLarge) } else { Ok(None) };
+        };
+        if end > LARGEST_HEAD {
+            return Err(HttpError::HeadTooLarge);
+        }
+        let text = std::str::from_utf8(&bytes[..end]).map_err(|_| HttpError::BadHead)?;
+        let mut lines = text.split("\r\n");
+        let mut parts = lines.next().unwrap_or("").splitn(3, ' ');
+        let mut part = || parts.next().unwrap_or("");
+        let start = [part(), part(), part()];
+        if start[0].is_empty() || start[1].is_empty() {
+            return Err(HttpError::BadHead);
+        }
+        let mut headers = Vec::new();
+        for line in lines {
+            let (name, value) = line.split_once(':').ok_or(HttpError::BadHead)?;
+            let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+            if name.is_empty() || !name.bytes().all(token) {
+                return Err(HttpError::BadHead);
+            }
+            headers.push((name, value.trim()));
+        }
+        Ok(Some((Head { start, headers }, end + 4)))
+    }
+
+    /// A header's value; names are compared without case.
+    pub fn header(&self, name: &str) -> Option<&'a str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| *v)
+    }
+
+    /// Whether a comma-separated header names a token.
+    pub fn names(&self, header: &str, token: &str) -> bool {
+        self.header(header).is_some_and(|v| v.split(',').any(|t| t.trim().eq_ignore_ascii_case(token)))
+    }
+
+    /// How the body is framed.
+    pub fn framing(&self) -> Result<Framing, HttpError> {
+        let lengths: Vec<&str> = self
+            .headers
+            .iter()
+            .filter(|(n, _)| n.eq_ignore_ascii_case("content-length"))
+            .map(|h| h.1)
+            .collect();
+        match (self.header("transfer-encoding"), lengths.as_slice()) {
+            (Some(coding), []) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            // Both, or another coding: two readers could disagree on where the body ends.
+            (Some(_), _) => Err(HttpError::BadBody),
+            (None, []) => Ok(Framing::None),
+            (None, [first, rest @ ..]) => {
+                let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
+                if !digits || rest.iter().any(|r| r != first) {
+                    return Err(HttpError::BadBody);
+                }
+                first.parse().map(Framing::Length).map_err(|_| HttpError::BadBody)
+            }
+        }
+    }
+}
+
+/// How a body is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Nothing tells.
+    None,
+    /// So many bytes.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+}
+
+/// Takes chunks off the front of a stream.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    left: usize,
+    /// The line feed after a chunk's data is still to come.
+    tail: bool,
+    ended: bool,
+}
+
+impl Chunks {
+    /// Moves what is whole from the input to the body; true once the last chunk has come.
+    pub fn take(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<bool, HttpError> {
+        let mut at = 0;
+        while !self.ended {
+            let rest = &input[at..];
+            if self.left > 0 {
+                let n = self.left.min(rest.len());
+                body.extend_from_slice(&rest[..n]);
+                (self.left, at) = (self.left - n, at + n);
+                self.tail = self.left == 0;
+                if n == 0 || self.left > 0 {
+                    break;
+                }
+                continue;
+            }
+            let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
+                if rest.len() > 1024 {
+                    return Err(HttpError::BadBody);
+                }
+                break;
+            };
+            let line = std::str::from_utf8(&rest[..end]).map_err(|_| HttpError::BadBody)?;
+            at += end + 2;
+            if std::mem::take(&mut self.tail) {
+                if !line.is_empty() {
+                    return Err(HttpError::BadBody);
+                }
+                continue;
+            }
+            let size = line.split(';').next().unwrap_or("").trim();
+            self.left = usize::from_str_radix(size, 16).map_err(|_| HttpError::BadBody)?;
+            if self.left == 0 {
+                // Trailers are not read: the blank line after the last chunk ends the body.
+                self.ended = true;
+                if input[at..].starts_with(b"\r\n") {
+                    at += 2;
+                }
+            }
+        }
+        input.drain(..at);
+        Ok(self.ended)
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,165 @@
+//! The server's side: requests in, responses out.
+
+use super::HttpError;
+use super::head::{Chunks, Framing, Head};
+
+/// A whole request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The target, as it was written.
+    pub target: String,
+    /// Type of the body, without parameters, in lower case.
+    pub content_type: Option<String>,
+    /// The origin of the page that asks.
+    pub origin: Option<String>,
+    /// A condition on the entity tag.
+    pub if_match: Option<String>,
+    /// The connection may be used again.
+    pub keep_alive: bool,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Finds requests in a stream of bytes.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    /// A request whose head has been read, with what its body still needs.
+    open: Option<(Request, Body)>,
+}
+
+#[derive(Debug)]
+enum Body {
+    Length(usize),
+    Chunked(Chunks),
+}
+
+impl Decoder {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait for more.
+    pub fn held(&self) -> usize {
+        self.buffer.len() + self.open.as_ref().map_or(0, |(request, _)| request.body.len())
+    }
+
+    /// The next whole request, or none until more bytes come. A body may be so long.
+    pub fn next(&mut self, largest: usize) -> Result<Option<Request>, HttpError> {
+        if self.open.is_none() {
+            let Some((request, body, length)) = read_head(&self.buffer)? else { return Ok(None) };
+            self.buffer.drain(..length);
+            self.open = Some((request, body));
+        }
+        let Some((request, body)) = &mut self.open else { return Ok(None) };
+        let whole = match body {
+            Body::Length(n) if *n > largest => return Err(HttpError::BodyTooLarge),
+            Body::Length(n) => {
+                let whole = self.buffer.len() >= *n;
+                if whole {
+                    request.body = self.buffer.drain(..*n).collect();
+                }
+                whole
+            }
+            Body::Chunked(chunks) => {
+                let whole = chunks.take(&mut self.buffer, &mut request.body)?;
+                if request.body.len() > largest {
+                    return Err(HttpError::BodyTooLarge);
+                }
+                whole
+            }
+        };
+        Ok(if whole { self.open.take().map(|(request, _)| request) } else { None })
+    }
+}
+
+fn read_head(bytes: &[u8]) -> Result<Option<(Request, Body, usize)>, HttpError> {
+    let Some((head, length)) = Head::parse(bytes)? else { return Ok(None) };
+    let [method, target, version] = head.start;
+    let keep_alive = match version {
+        "HTTP/1.1" => !head.names("connection", "close"),
+        "HTTP/1.0" => head.names("connection", "keep-alive"),
+        v if v.starts_with("HTTP/") => return Err(HttpError::BadVersion),
+        _ => return Err(HttpError::BadHead),
+    };
+    let body = match head.framing()? {
+        Framing::None => Body::Length(0),
+        Framing::Length(n) => Body::Length(n),
+        Framing::Chunked => Body::Chunked(Chunks::default()),
+    };
+    let text = |name: &str| head.header(name).map(str::to_owned);
+    let content_type = head.header("content-type").and_then(|t| t.split(';').next());
+    let request = Request {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        content_type: content_type.map(|t| t.trim().to_ascii_lowercase()),
+        origin: text("origin"),
+        if_match: text("if-match"),
+        keep_alive,
+        body: Vec::new(),
+    };
+    Ok(Some((request, body, length)))
+}
+
+/// A response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// The status code.
+    pub status: u16,
+    /// Headers, but for those of the framing.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    /// With a plain line for people, where the status tells of an error.
+    pub fn text(status: u16, line: &str) -> Response {
+        let body = if line.is_empty() { Vec::new() } else { format!("{line}\n").into_bytes() };
+        let headers = if body.is_empty() { vec![] } else { vec![("Content-Type", "text/plain".to_owned())] };
+        Response { status, headers, body }
+    }
+
+    /// With one more header.
+    pub fn with(mut self, name: &'static str, value: impl ToString) -> Response {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
+    /// Head and body, to be written with one gathered write.
+    pub fn encode(self, keep_alive: bool) -> [Vec<u8>; 2] {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if self.status != 204 {
+            head.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        head.push_str(if keep_alive { "\r\n" } else { "Connection: close\r\n\r\n" });
+        [head.into_bytes(), self.body]
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        415 => "Unsupported Media Type",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Unknown",
+    }
+}
--- /dev/null
+++ b/src/http/sse.rs
@@ -0,0 +1,65 @@
+//! Server-sent events.
+
+use super::{HttpError, LARGEST_HEAD};
+
+/// No event may be larger: a whole list of servers must fit.
+const LARGEST_EVENT: usize = 4 * 1024 * 1024;
+
+/// An event with data.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its id, if one was given.
+    pub id: Option<String>,
+    /// Its data.
+    pub data: String,
+}
+
+/// Finds events in a stream of bytes.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    event: Event,
+    filled: bool,
+}
+
+impl Decoder {
+    /// Takes bytes in; gives the events that are whole. Comments and unknown fields are skipped.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, HttpError> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut at = 0;
+        while let Some(end) = self.buffer[at..].iter().position(|b| *b == b'\n') {
+            let line = &self.buffer[at..at + end];
+            let line = std::str::from_utf8(line).map_err(|_| HttpError::BadBody)?;
+            let line = line.strip_suffix('\r').unwrap_or(line);
+            at += end + 1;
+            if line.is_empty() {
+                let event = std::mem::take(&mut self.event);
+                if std::mem::take(&mut self.filled) {
+                    events.push(event);
+                }
+                continue;
+            }
+            let (name, value) = line.split_once(':').unwrap_or((line, ""));
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match name {
+                "data" => {
+                    if std::mem::replace(&mut self.filled, true) {
+                        self.event.data.push('\n');
+                    }
+                    self.event.data.push_str(value);
+                }
+                "id" => self.event.id = Some(value.to_owned()),
+                _ => {}
+            }
+            if self.event.data.len() > LARGEST_EVENT {
+                return Err(HttpError::BodyTooLarge);
+            }
+        }
+        self.buffer.drain(..at);
+        if self.buffer.len() > LARGEST_EVENT + LARGEST_HEAD {
+            return Err(HttpError::BodyTooLarge);
+        }
+        Ok(events)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,14 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod board;
 pub mod brain;
+pub mod broker;
+pub mod config;
+pub mod http;
+pub mod message;
+pub mod net;
+pub mod node;
+pub mod platform;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,68 @@
+//! The command line.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+
+use amberspindle::config::Config;
+use amberspindle::net;
+
+const HELP: &str = "\
+amberspindle: a playback broker
+
+usage: amberspindle serve      serve until SIGTERM or SIGINT
+       amberspindle check      say whether the configuration can work
+       amberspindle version    print the version
+       amberspindle help       print this
+
+The configuration is the JSON file that LB_CONFIG names; LB_NAME and LB_LISTEN go before it.";
+
+fn main() -> ExitCode {
+    match command() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("amberspindle: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Result<(), String> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        println!("{HELP}");
+        return Ok(());
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return version();
+    }
+    let command = arguments.subcommand().map_err(|e| e.to_string())?;
+    let rest = arguments.finish();
+    if let Some(extra) = rest.first() {
+        return Err(format!("{}: not understood; see 'amberspindle help'", extra.to_string_lossy()));
+    }
+    match command.as_deref() {
+        Some("serve") => {
+            let config = config()?;
+            net::run(&config).map_err(|e| format!("can't serve: {e}"))
+        }
+        Some("check") => config().map(|config| println!("{}: the configuration can work", config.name)),
+        Some("version") => version(),
+        Some("help") | None => {
+            println!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(format!("{other}: no such command; see 'amberspindle help'")),
+    }
+}
+
+fn version() -> Result<(), String> {
+    println!("amberspindle {}", env!("CARGO_PKG_VERSION"));
+    Ok(())
+}
+
+fn config() -> Result<Config, String> {
+    let env: BTreeMap<String, String> = std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
+        .collect();
+    Config::platform(&env).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/message/binary.rs
@@ -0,0 +1,153 @@
+//! Binary messages: `length:2 type:1 session:8` and parameters `code:1 length:2 value`, big-endian.
+
+use super::{Kind, LARGEST, Malformed};
+use crate::api::SessionId;
+
+/// Codes of the parameters.
+pub mod code {
+    /// The class.
+    pub const CLASS: u8 = 3;
+    /// How long the broker waits, in milliseconds.
+    pub const WAIT: u8 = 4;
+    /// The title.
+    pub const TITLE: u8 = 7;
+    /// What a note is about.
+    pub const NOTE: u8 = 10;
+    /// The load report.
+    pub const LOAD: u8 = 12;
+    /// The rung.
+    pub const RUNG: u8 = 14;
+    /// A note's figure.
+    pub const FIGURE: u8 = 15;
+    /// The cause: one byte.
+    pub const CAUSE: u8 = 17;
+    /// The description.
+    pub const DESCRIPTION: u8 = 18;
+}
+
+/// Type and session.
+const HEAD: usize = 9;
+
+/// A message that still lies in the buffer it came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Packet<'a> {
+    /// What it is.
+    pub kind: Kind,
+    /// Its session.
+    pub id: SessionId,
+    parameters: &'a [u8],
+}
+
+impl<'a> Packet<'a> {
+    /// The value of a parameter, if it is there.
+    pub fn value(&self, wanted: u8) -> Option<&'a [u8]> {
+        let mut rest = self.parameters;
+        while let Some((code, value, after)) = parameter(rest) {
+            if code == wanted {
+                return Some(value);
+            }
+            rest = after;
+        }
+        None
+    }
+
+    /// A parameter as text.
+    pub fn text(&self, wanted: u8) -> Option<&'a str> {
+        self.value(wanted).and_then(|v| std::str::from_utf8(v).ok())
+    }
+
+    /// The cause.
+    pub fn cause(&self) -> Option<u8> {
+        self.value(code::CAUSE).filter(|v| v.len() == 1).map(|v| v[0])
+    }
+}
+
+fn parameter(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
+    let (head, rest) = bytes.split_at_checked(3)?;
+    let (value, after) = rest.split_at_checked(usize::from(u16::from_be_bytes([head[1], head[2]])))?;
+    Some((head[0], value, after))
+}
+
+/// Finds messages in a stream of bytes.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Decoder {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.start = 0;
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, or none until more bytes come.
+    pub fn next_packet(&mut self) -> Result<Option<Packet<'_>>, Malformed> {
+        let bytes = &self.buffer[self.start..];
+        let Some((length, rest)) = bytes.split_at_checked(2) else { return Ok(None) };
+        let length = usize::from(u16::from_be_bytes([length[0], length[1]]));
+        if length + 2 > LARGEST {
+            return Err(Malformed::TooLarge);
+        }
+        if length < HEAD {
+            return Err(Malformed::BadLength);
+        }
+        if rest.len() < length {
+            return Ok(None);
+        }
+        self.start += 2 + length;
+        let body = &rest[..length];
+        let kind = Kind::from_code(body[0]).ok_or(Malformed::UnknownType)?;
+        let mut id = [0; 8];
+        id.copy_from_slice(&body[1..HEAD]);
+        let mut parameters = &body[HEAD..];
+        while !parameters.is_empty() {
+            parameters = parameter(parameters).ok_or(Malformed::BadLength)?.2;
+        }
+        Ok(Some(Packet { kind, id: SessionId(u64::from_be_bytes(id)), parameters: &body[HEAD..] }))
+    }
+}
+
+/// Writes one message.
+#[derive(Debug)]
+pub struct Builder {
+    bytes: Vec<u8>,
+    fits: bool,
+}
+
+impl Builder {
+    /// A message without parameters.
+    pub fn new(kind: Kind, id: SessionId) -> Builder {
+        let mut bytes = vec![0, 0, kind.code()];
+        bytes.extend_from_slice(&id.0.to_be_bytes());
+        Builder { bytes, fits: true }
+    }
+
+    /// Adds a parameter.
+    pub fn with(mut self, code: u8, value: &[u8]) -> Builder {
+        self.fits &= self.bytes.len() + 3 + value.len() <= LARGEST;
+        if self.fits {
+            self.bytes.push(code);
+            self.bytes.extend_from_slice(&(value.len() as u16).to_be_bytes());
+            self.bytes.extend_from_slice(value);
+        }
+        self
+    }
+
+    /// Adds the cause.
+    pub fn cause(self, cause: u8) -> Builder {
+        self.with(code::CAUSE, &[cause])
+    }
+
+    /// The bytes, or that the message would be too large.
+    pub fn finish(mut self) -> Result<Vec<u8>, Malformed> {
+        if !self.fits {
+            return Err(Malformed::TooLarge);
+        }
+        let length = ((self.bytes.len() - 2) as u16).to_be_bytes();
+        self.bytes[..2].copy_from_slice(&length);
+        Ok(self.bytes)
+    }
+}
--- /dev/null
+++ b/src/message/line.rs
@@ -0,0 +1,140 @@
+//! JSON lines: each holds one object with type, id, fields and, where they belong, cause and description.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Map, Value};
+
+use super::{Kind, LARGEST, Malformed};
+use crate::api::SessionId;
+
+/// One message of a viewer's connection.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// What it is.
+    pub kind: Kind,
+    /// Its session.
+    pub id: SessionId,
+    /// Its fields, numbers as text.
+    pub fields: BTreeMap<String, String>,
+    /// The cause.
+    pub cause: Option<u8>,
+    /// The description.
+    pub sdp: Option<String>,
+}
+
+impl Line {
+    /// A message with nothing but its type and id.
+    pub fn new(kind: Kind, id: SessionId) -> Line {
+        Line { kind, id, fields: BTreeMap::new(), cause: None, sdp: None }
+    }
+
+    /// With a cause.
+    pub fn cause(mut self, cause: u8) -> Line {
+        self.cause = Some(cause);
+        self
+    }
+
+    /// With one more field.
+    pub fn field(mut self, name: &str, value: impl ToString) -> Line {
+        self.fields.insert(name.to_owned(), value.to_string());
+        self
+    }
+
+    /// With a description.
+    pub fn sdp(mut self, sdp: &str) -> Line {
+        self.sdp = Some(sdp.to_owned());
+        self
+    }
+
+    /// The bytes, line feed included, or that they would be too many.
+    pub fn encode(&self) -> Result<Vec<u8>, Malformed> {
+        let mut object = Map::new();
+        object.insert("type".into(), self.kind.word().into());
+        object.insert("id".into(), format!("{:016x}", self.id.0).into());
+        let fields = self.fields.iter().map(|(k, v)| (k.clone(), Value::from(v.as_str())));
+        object.insert("fields".into(), Value::Object(fields.collect()));
+        if let Some(cause) = self.cause {
+            object.insert("cause".into(), cause.into());
+        }
+        if let Some(sdp) = &self.sdp {
+            object.insert("sdp".into(), sdp.as_str().into());
+        }
+        let mut bytes = Value::Object(object).to_string().into_bytes();
+        bytes.push(b'\n');
+        if bytes.len() > LARGEST { Err(Malformed::TooLarge) } else { Ok(bytes) }
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Line, Malformed> {
+        let value: Value = serde_json::from_slice(bytes).map_err(|_| Malformed::BadJson)?;
+        let text = |name: &str| value.get(name).and_then(Value::as_str);
+        let kind = Kind::from_word(text("type").ok_or(Malformed::BadJson)?).ok_or(Malformed::UnknownType)?;
+        let id = parse_id(text("id").ok_or(Malformed::BadId)?).ok_or(Malformed::BadId)?;
+        let mut fields = BTreeMap::new();
+        match value.get("fields") {
+            None | Some(Value::Null) => {}
+            Some(Value::Object(map)) => {
+                for (name, value) in map {
+                    match value {
+                        Value::String(s) => fields.insert(name.clone(), s.clone()),
+                        Value::Number(n) => fields.insert(name.clone(), n.to_string()),
+                        // Unknown forms are skipped like unknown fields.
+                        _ => None,
+                    };
+                }
+            }
+            Some(_) => return Err(Malformed::BadField),
+        }
+        let cause = match value.get("cause") {
+            None | Some(Value::Null) => None,
+            Some(c) => Some(c.as_u64().and_then(|c| u8::try_from(c).ok()).ok_or(Malformed::BadField)?),
+        };
+        Ok(Line { kind, id, fields, cause, sdp: text("sdp").map(str::to_owned) })
+    }
+}
+
+/// Reads a session's id: 16 hex digits.
+pub fn parse_id(text: &str) -> Option<SessionId> {
+    let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    if hex { u64::from_str_radix(text, 16).ok().map(SessionId) } else { None }
+}
+
+/// Finds messages in a stream of bytes.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    start: usize,
+    /// Bytes after `start` that hold no line feed.
+    searched: usize,
+}
+
+impl Decoder {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.start = 0;
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, or none until more bytes come. Empty lines are skipped.
+    pub fn next_line(&mut self) -> Result<Option<Line>, Malformed> {
+        loop {
+            let bytes = &self.buffer[self.start..];
+            let Some(end) = bytes[self.searched..].iter().position(|b| *b == b'\n') else {
+                self.searched = bytes.len();
+                return if bytes.len() >= LARGEST { Err(Malformed::TooLarge) } else { Ok(None) };
+            };
+            let end = self.searched + end;
+            if end + 1 > LARGEST {
+                return Err(Malformed::TooLarge);
+            }
+            let line = &bytes[..end];
+            let blank = line.iter().all(u8::is_ascii_whitespace);
+            let decoded = if blank { None } else { Some(Line::decode(line)) };
+            self.start += end + 1;
+            self.searched = 0;
+            if let Some(decoded) = decoded {
+                return decoded.map(Some);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,294 @@
+//! The only module with sockets: thin drivers that move bytes between them and the [`Node`].
+
+mod outbox;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::{self, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt, future};
+
+use crate::api::Micros;
+use crate::board::{self, Board};
+use crate::config::Config;
+use crate::node::Node;
+use crate::platform::links::{Closed, Command, ConnId};
+use crate::platform::longest_deadline;
+use outbox::{Bell, Outbox};
+
+/// After SIGTERM connections and requests keep coming for so long.
+const STILL_COMING: Micros = Micros(700_000);
+/// How long sessions that play may keep a broker up that was told to stop.
+const LINGER: Micros = Micros(30_000_000);
+
+struct Shared {
+    executor: LocalExecutor<'static>,
+    node: RefCell<Node>,
+    boxes: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
+    clock: Cell<Micros>,
+    bell: Bell,
+    accepted: Cell<usize>,
+    room: Bell,
+    connect_timeout: Duration,
+}
+
+type Node0 = Rc<Shared>;
+
+fn micros(span: Micros) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+fn log(line: &str) {
+    // A log that can't be written must not end the broker.
+    let _ = writeln!(io::stdout().lock(), "{line}");
+}
+
+impl Shared {
+    /// The system's Unix clock; it never runs backwards here.
+    fn now(&self) -> Micros {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = Micros(unix.as_micros() as u64).max(self.clock.get());
+        self.clock.set(now);
+        now
+    }
+}
+
+/// Lets the node do something, then carries its commands out.
+fn step<T>(shared: &Node0, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
+    let now = shared.now();
+    let mut commands = Vec::new();
+    let (result, lines) = {
+        let mut node = shared.node.borrow_mut();
+        (act(&mut node, now, &mut commands), node.take_log())
+    };
+    for line in lines {
+        log(&line);
+    }
+    for command in commands {
+        match command {
+            Command::Dial(conn, address) => {
+                let outbox = Rc::new(Outbox::default());
+                shared.boxes.borrow_mut().insert(conn, outbox.clone());
+                let driver = dial(shared.clone(), conn, address, outbox);
+                shared.executor.spawn(driver).detach();
+            }
+            Command::Write(conn, bytes, tag) => {
+                if let Some(outbox) = shared.boxes.borrow().get(&conn) {
+                    outbox.push(bytes, tag);
+                }
+            }
+            Command::Close(conn, reason) => {
+                if let Some(outbox) = shared.boxes.borrow().get(&conn) {
+                    outbox.close(reason);
+                }
+            }
+        }
+    }
+    shared.bell.ring();
+    result
+}
+
+/// Reads and writes until the connection ends; gives the reason's code.
+async fn drive(shared: &Node0, conn: ConnId, stream: &Async<TcpStream>, outbox: &Outbox) -> &'static str {
+    let read = async {
+        let mut stream = stream;
+        let mut buffer = vec![0; 16 * 1024];
+        loop {
+            match stream.read(&mut buffer).await {
+                Ok(0) => return "end-of-stream",
+                Ok(n) => step(shared, |node, now, out| node.bytes(now, conn, &buffer[..n], out)),
+                Err(error) => return code(&error),
+            }
+        }
+    };
+    let write = async {
+        loop {
+            if let Some(reason) = outbox.ready().await {
+                return reason;
+            }
+            match stream.write_with(|mut s| outbox.gather(|slices| s.write_vectored(slices))).await {
+                Ok(0) => return "write-zero",
+                Ok(n) => outbox.written(n),
+                Err(error) => return code(&error),
+            }
+        }
+    };
+    future::or(write, read).await
+}
+
+fn code(error: &io::Error) -> &'static str {
+    match error.kind() {
+        io::ErrorKind::ConnectionReset => "reset",
+        io::ErrorKind::BrokenPipe => "broken-pipe",
+        io::ErrorKind::ConnectionRefused => "refused",
+        io::ErrorKind::TimedOut => "timed-out",
+        _ => "io-error",
+    }
+}
+
+fn ended(shared: &Node0, conn: ConnId, peer: &str, reason: &str, how: Closed) {
+    shared.boxes.borrow_mut().remove(&conn);
+    log(&format!("end conn={} peer={peer} reason={reason}", conn.0));
+    step(shared, |node, now, out| node.closed(now, conn, &how, out));
+}
+
+async fn within<T>(span: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    future::or(work, async {
+        Timer::after(span).await;
+        Err(io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
+
+async fn dial(shared: Node0, conn: ConnId, address: SocketAddr, outbox: Rc<Outbox>) {
+    let peer = format!("edge:{address}");
+    match within(shared.connect_timeout, Async::<TcpStream>::connect(address)).await {
+        Ok(stream) => {
+            let _ = stream.get_ref().set_nodelay(true);
+            step(&shared, |node, now, out| node.opened(now, conn, out));
+            let reason = drive(&shared, conn, &stream, &outbox).await;
+            ended(&shared, conn, &peer, reason, Closed::Ended(outbox.unsent()));
+        }
+        Err(error) => {
+            let reason =
+                if error.kind() == io::ErrorKind::TimedOut { "connect-timeout" } else { code(&error) };
+            ended(&shared, conn, &peer, reason, Closed::NeverOpened);
+        }
+    }
+}
+
+async fn serve(shared: Node0, stream: Async<TcpStream>, peer: SocketAddr) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let outbox = Rc::new(Outbox::default());
+    let conn = step(&shared, |node, _, _| node.number());
+    shared.boxes.borrow_mut().insert(conn, outbox.clone());
+    step(&shared, |node, now, out| node.accepted(now, conn, out));
+    let reason = drive(&shared, conn, &stream, &outbox).await;
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    shared.accepted.set(shared.accepted.get() - 1);
+    shared.room.ring();
+    ended(&shared, conn, &format!("viewer:{peer}"), reason, Closed::Ended(outbox.unsent()));
+}
+
+async fn accept(shared: Node0, listener: Async<TcpListener>, most: usize) {
+    loop {
+        // Descriptors are few: what can't be held waits in the machine's queue.
+        while shared.accepted.get() >= most {
+            shared.room.heard().await;
+        }
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                shared.accepted.set(shared.accepted.get() + 1);
+                shared.executor.spawn(serve(shared.clone(), stream, peer)).detach();
+            }
+            Err(error) => {
+                log(&format!("accept failed reason={}", code(&error)));
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn keep_time(shared: Node0) {
+    loop {
+        let wait = micros(shared.node.borrow().next_alarm() - shared.now());
+        if !wait.is_zero() {
+            let timer = async {
+                Timer::after(wait).await;
+            };
+            future::or(shared.bell.heard(), timer).await;
+        }
+        if shared.node.borrow().next_alarm() <= shared.now() {
+            step(&shared, |node, now, out| node.tick(now, out));
+        }
+    }
+}
+
+async fn follow(shared: Node0, mut board: Board, address: SocketAddr) {
+    loop {
+        let reason = match follow_once(&shared, &mut board, address).await {
+            Ok(()) => "end-of-stream",
+            Err(error) => code(&error),
+        };
+        log(&format!("end peer=board:{address} reason={reason} last={}", board.last()));
+        Timer::after(micros(board::RETRY)).await;
+    }
+}
+
+async fn follow_once(shared: &Node0, board: &mut Board, address: SocketAddr) -> io::Result<()> {
+    let mut stream = within(micros(board::CONNECT), Async::<TcpStream>::connect(address)).await?;
+    stream.write_all(&board.request(&address.to_string())).await?;
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let n = within(micros(board::SILENCE), stream.read(&mut buffer)).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        let news = board.bytes(&buffer[..n]).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+        for news in news {
+            step(shared, |node, now, out| node.news(now, news, out));
+        }
+    }
+}
+
+/// Serves until it is told to stop.
+pub fn run(config: &Config) -> io::Result<()> {
+    let shared = Rc::new(Shared {
+        executor: LocalExecutor::new(),
+        node: RefCell::new(Node::new(config)),
+        boxes: RefCell::new(BTreeMap::new()),
+        clock: Cell::new(Micros(0)),
+        bell: Bell::default(),
+        accepted: Cell::new(0),
+        room: Bell::default(),
+        connect_timeout: micros(config.connect_timeout),
+    });
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let (board, known) = Board::new(config.names.clone(), &config.known);
+    for news in known {
+        step(&shared, |node, now, out| node.news(now, news, out));
+    }
+    if let Some(address) = config.board {
+        shared.executor.spawn(follow(shared.clone(), board, address)).detach();
+    }
+    // A third for viewers is the platform's share; the rest is for servers and what is closing.
+    let most = config.sockets / 2;
+    let mut fronts = Vec::new();
+    if let Some(address) = config.listen {
+        let listener = Async::<TcpListener>::bind(address)?;
+        log(&format!("{} listens on {}", config.name, listener.get_ref().local_addr()?));
+        fronts.push(shared.executor.spawn(accept(shared.clone(), listener, most)));
+    }
+    shared.executor.spawn(keep_time(shared.clone())).detach();
+    let stop = async {
+        let signal = signals.next().await;
+        let asked = shared.now();
+        log(&format!("stopping signal={signal:?}"));
+        shared.node.borrow_mut().stop();
+        Timer::after(micros(STILL_COMING)).await;
+        drop(fronts);
+        // What was taken is answered; sessions that play end with this broker, so it stays up for them.
+        let answers_by = asked + STILL_COMING + longest_deadline(&config.settings);
+        loop {
+            let (unanswered, standing) = shared.node.borrow().held();
+            let now = shared.now();
+            let lingers = standing > 0 && now < asked + LINGER;
+            if !lingers && (unanswered == 0 || now > answers_by + STILL_COMING) {
+                break;
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        // Last words are still on their way out.
+        Timer::after(Duration::from_millis(50)).await;
+        log("stopped");
+    };
+    async_io::block_on(shared.executor.run(stop));
+    Ok(())
+}
--- /dev/null
+++ b/src/net/outbox.rs
@@ -0,0 +1,141 @@
+//! What waits to be written on one connection, and the bell that wakes its writer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::io::{self, IoSlice};
+use std::task::{Poll, Waker};
+
+use crate::api::SessionId;
+
+/// A peer that leaves so much unread is let go.
+const MOST_BYTES: usize = 1024 * 1024;
+/// Pieces of one gathered write.
+const MOST_PIECES: usize = 64;
+
+/// Wakes one waiter; a ring before the wait is not lost.
+#[derive(Debug, Default)]
+pub struct Bell {
+    rung: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Bell {
+    /// Rings it.
+    pub fn ring(&self) {
+        self.rung.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for the next ring.
+    pub async fn heard(&self) {
+        poll_fn(|context| {
+            if self.rung.take() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// The bounded queue of one connection.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    queue: RefCell<VecDeque<(Vec<u8>, Option<SessionId>)>>,
+    /// Bytes of the first piece that are written.
+    offset: Cell<usize>,
+    bytes: Cell<usize>,
+    closing: Cell<Option<&'static str>>,
+    bell: Bell,
+}
+
+impl Outbox {
+    /// Queues a piece; a set-up's is marked by its session.
+    pub fn push(&self, bytes: Vec<u8>, tag: Option<SessionId>) {
+        if bytes.is_empty() {
+            return;
+        }
+        self.bytes.set(self.bytes.get() + bytes.len());
+        self.queue.borrow_mut().push_back((bytes, tag));
+        if self.bytes.get() > MOST_BYTES {
+            // The peer does not read: nothing more will reach it in time.
+            self.closing.set(Some("overflow"));
+        }
+        self.bell.ring();
+    }
+
+    /// Ends the connection once all is written.
+    pub fn close(&self, reason: &'static str) {
+        if self.closing.get().is_none() {
+            self.closing.set(Some(reason));
+        }
+        self.bell.ring();
+    }
+
+    /// Waits until there is something to write; a reason ends the connection instead.
+    pub async fn ready(&self) -> Option<&'static str> {
+        loop {
+            let over = self.bytes.get() > MOST_BYTES;
+            if !over && !self.queue.borrow().is_empty() {
+                return None;
+            }
+            if let Some(reason) = self.closing.get() {
+                return Some(reason);
+            }
+            self.bell.heard().await;
+        }
+    }
+
+    /// Hands what is queued to one gathered write.
+    pub fn gather(&self, write: impl FnOnce(&[IoSlice<'_>]) -> io::Result<usize>) -> io::Result<usize> {
+        let queue = self.queue.borrow();
+        let from = |i: usize| if i == 0 { self.offset.get() } else { 0 };
+        let pieces = queue.iter().take(MOST_PIECES).enumerate();
+        let slices: Vec<IoSlice<'_>> =
+            pieces.map(|(i, (bytes, _))| IoSlice::new(&bytes[from(i)..])).collect();
+        write(&slices)
+    }
+
+    /// So many bytes were written.
+    pub fn written(&self, mut n: usize) {
+        let mut queue = self.queue.borrow_mut();
+        self.bytes.set(self.bytes.get().saturating_sub(n));
+        n += self.offset.get();
+        while let Some((bytes, _)) = queue.front()
+            && n >= bytes.len()
+        {
+            n -= bytes.len();
+            queue.pop_front();
+        }
+        self.offset.set(n);
+    }
+
+    /// Set-ups of which not a byte was written.
+    pub fn unsent(&self) -> Vec<SessionId> {
+        let begun = usize::from(self.offset.get() > 0);
+        self.queue.borrow().iter().skip(begun).filter_map(|(_, tag)| *tag).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_set_up_counts_as_unsent_only_while_not_a_byte_of_it_is_written() {
+        let outbox = Outbox::default();
+        outbox.push(vec![1; 10], Some(SessionId(1)));
+        outbox.push(vec![2; 10], Some(SessionId(2)));
+        assert_eq!(outbox.unsent(), [SessionId(1), SessionId(2)]);
+        outbox.written(1);
+        assert_eq!(outbox.unsent(), [SessionId(2)]);
+        outbox.written(9);
+        assert_eq!(outbox.unsent(), [SessionId(2)]);
+        outbox.written(10);
+        assert!(outbox.unsent().is_empty());
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,336 @@
+//! One broker without its sockets: carries what the fronts hear to the core and what the core decides to the
+//! fronts. Fed connections and bytes, gives [`Command`]s.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::api::*;
+use crate::board::News;
+use crate::broker::{Broker, Effect, Failure, Input, SetUp};
+use crate::config::Config;
+use crate::message::line::Line;
+use crate::platform::Names;
+use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, status};
+use crate::platform::viewer::{self, Said, Viewer};
+
+/// How long a release waits for a connection that it could go out on.
+const OWED_KEPT: Micros = Micros(8_000_000);
+/// Time between looks at connections.
+const LOOK_EVERY: Micros = Micros(250_000);
+
+#[derive(Default)]
+struct ViewerConn {
+    viewer: Viewer,
+    /// Set-ups of this connection that are owed an answer.
+    open: BTreeSet<SessionId>,
+}
+
+/// One broker without its sockets.
+pub struct Node {
+    broker: Broker,
+    names: Names,
+    links: Links,
+    viewers: BTreeMap<ConnId, ViewerConn>,
+    /// The connection that a session was set up on.
+    homes: BTreeMap<SessionId, ConnId>,
+    /// Lines that no connection was open for.
+    owed: VecDeque<(Micros, Line)>,
+    /// Latest starts of the servers.
+    starts: BTreeMap<ServerId, Option<Micros>>,
+    /// Servers whose loss is being checked.
+    checks: BTreeSet<ServerId>,
+    look_at: Micros,
+    stopping: bool,
+    log: Vec<String>,
+}
+
+impl Node {
+    /// A node that knows its configuration.
+    pub fn new(config: &Config) -> Node {
+        let (tell, see) = (config.settings.tell, config.settings.see);
+        Node {
+            broker: Broker::new(config.settings.clone(), config.seed),
+            names: config.names.clone(),
+            links: Links::new(config.idle, tell, see),
+            viewers: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            owed: VecDeque::new(),
+            starts: BTreeMap::new(),
+            checks: BTreeSet::new(),
+            look_at: Micros(0),
+            stopping: false,
+            log: Vec::new(),
+        }
+    }
+
+    /// Requests that are owed an answer, and sessions that stand.
+    pub fn held(&self) -> (usize, usize) {
+        (self.broker.unanswered(), self.broker.standing())
+    }
+
+    /// From now on tests fail, so that clients go elsewhere.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Lines for the log since the last call.
+    pub fn take_log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
+    /// When [`Node::tick`] is wanted next.
+    pub fn next_alarm(&self) -> Micros {
+        self.broker.next_alarm().map_or(self.look_at, |at| at.min(self.look_at))
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.tell(now, Input::Tick, out);
+        if now >= self.look_at {
+            self.look_at = now + LOOK_EVERY;
+            self.owed.retain(|(until, _)| *until > now);
+            self.look(now, out);
+        }
+    }
+
+    /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
+    fn look(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let busy: Vec<ServerId> = self.starts.keys().filter(|s| self.broker.stands_any(s)).cloned().collect();
+        let connected = self.links.connected();
+        for server in self.links.silent(now, busy.iter().cloned()) {
+            self.check(now, &server, out);
+        }
+        for server in busy.into_iter().filter(|s| !connected.contains(s)) {
+            self.check(now, &server, out);
+        }
+    }
+
+    /// Finds out whether a server is lost: only a refused connection proves it.
+    fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
+        if self.links.check(now, server, out) {
+            self.checks.insert(server.clone());
+        }
+    }
+
+    /// News of the list of servers.
+    pub fn news(&mut self, now: Micros, news: News, out: &mut Vec<Command>) {
+        let mut again = Vec::new();
+        for listed in &news.servers {
+            let (id, up) = (&listed.entry.id, listed.entry.up_since);
+            self.links.listed(id, listed.address);
+            if let Some(before) = self.starts.insert(id.clone(), up)
+                && up > before
+            {
+                again.push(id.clone());
+            }
+        }
+        // A process that has started anew holds nothing of what stood there before.
+        for server in again {
+            self.tell(now, Input::Lost(server), out);
+        }
+        let servers = news.servers.into_iter().map(|l| l.entry).collect();
+        self.tell(now, Input::Servers { kind: news.kind, servers }, out);
+    }
+
+    /// A number for a connection.
+    pub fn number(&mut self) -> ConnId {
+        self.links.number()
+    }
+
+    /// A viewer's connection was accepted.
+    pub fn accepted(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+        self.viewers.insert(conn, ViewerConn::default());
+        // What waited for a connection goes out on it.
+        for (until, line) in std::mem::take(&mut self.owed) {
+            if until > now {
+                self.say(now, Some(conn), &line, out);
+            }
+        }
+    }
+
+    /// A connection to a server has come up.
+    pub fn opened(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+        self.links.opened(now, conn, out);
+    }
+
+    /// Bytes came on a connection.
+    pub fn bytes(&mut self, now: Micros, conn: ConnId, bytes: &[u8], out: &mut Vec<Command>) {
+        if self.links.has(conn) {
+            match self.links.bytes(now, conn, bytes) {
+                Ok((server, heard)) => {
+                    for heard in heard {
+                        self.heard(now, &server, heard, out);
+                    }
+                }
+                Err(error) => out.push(Command::Close(conn, error.code())),
+            }
+            return;
+        }
+        let Some(c) = self.viewers.get_mut(&conn) else { return };
+        c.viewer.feed(bytes);
+        loop {
+            let Some(c) = self.viewers.get_mut(&conn) else { return };
+            match c.viewer.next(now, &self.names) {
+                Ok(Some(said)) => self.said(now, conn, said, out),
+                Ok(None) => return,
+                Err(error) => return out.push(Command::Close(conn, error.code())),
+            }
+        }
+    }
+
+    /// A connection has ended.
+    pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed, out: &mut Vec<Command>) {
+        if let Some(c) = self.viewers.remove(&conn) {
+            self.homes.retain(|_, home| *home != conn);
+            // Nobody waits there any more.
+            for id in c.open {
+                self.tell(now, Input::Left(id), out);
+            }
+            return;
+        }
+        let Some(Broken { server, over, only }) = self.links.closed(conn, how) else { return };
+        for (id, status) in over {
+            let load = Load::default();
+            self.tell(now, Input::Over { id, server: server.clone(), status, load }, out);
+        }
+        let checked = self.checks.remove(&server);
+        match how {
+            Closed::NeverOpened if checked => self.tell(now, Input::Lost(server), out),
+            _ if only && self.broker.stands_any(&server) => self.check(now, &server, out),
+            _ => {}
+        }
+    }
+
+    fn said(&mut self, now: Micros, conn: ConnId, said: Said, out: &mut Vec<Command>) {
+        match said {
+            Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, !self.stopping), out),
+            Said::Release(id) => {
+                self.forget(id);
+                if self.broker.knows(id) {
+                    self.tell(now, Input::Left(id), out);
+                }
+            }
+            Said::SetUp(request, description) => {
+                let id = request.id;
+                if self.broker.knows(id) {
+                    return;
+                }
+                self.homes.insert(id, conn);
+                if let Some(c) = self.viewers.get_mut(&conn) {
+                    c.open.insert(id);
+                }
+                self.tell(now, Input::Request(request, description.into_bytes().into()), out);
+            }
+            Said::Playing(request, server) => {
+                self.homes.entry(request.id).or_insert(conn);
+                self.tell(now, Input::Open(request, server.clone()), out);
+                self.links.attend(now, &server, out);
+            }
+        }
+    }
+
+    fn heard(&mut self, now: Micros, server: &ServerId, heard: Heard, out: &mut Vec<Command>) {
+        let server = server.clone();
+        let input = match heard {
+            Heard::Answer(id, answer) => Input::Stands { id, server, answer },
+            Heard::Release(id, cause, load) => {
+                let status = status(cause, self.broker.stands(id, &server));
+                Input::Over { id, server, status, load }
+            }
+            Heard::Note(id, note) => Input::Note { id, server, note },
+        };
+        self.tell(now, input, out);
+    }
+
+    fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        let mut effects = Vec::new();
+        self.broker.handle(now, input, &mut effects);
+        for effect in effects {
+            self.carry_out(now, effect, out);
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, effect: Effect, out: &mut Vec<Command>) {
+        match effect {
+            Effect::SetUp(set_up) => self.send(now, &set_up, out),
+            Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
+            Effect::Cut(id, server) => {
+                self.forget(id);
+                self.links.release(now, id, &server, out);
+            }
+            Effect::Rate(id, server, rung) => self.links.rate(now, id, &server, rung, out),
+            Effect::Plays(id, description) => {
+                let home = self.answered(id);
+                let line = std::str::from_utf8(&description).ok().map(|text| viewer::answer(id, text));
+                match line.filter(|line| line.encode().is_ok()) {
+                    Some(line) => self.say(now, home, &line, out),
+                    None => {
+                        // What can't be passed on unchanged is not passed on.
+                        self.say(now, home, &viewer::failed(id), out);
+                        self.tell(now, Input::Left(id), out);
+                    }
+                }
+            }
+            Effect::Refused(id, wait) => {
+                let home = self.answered(id);
+                self.forget(id);
+                self.say(now, home, &viewer::refused(id, wait), out);
+            }
+            Effect::Failed(id, Failure::Attempt | Failure::Deadline) => {
+                let home = self.answered(id);
+                self.forget(id);
+                self.say(now, home, &viewer::failed(id), out);
+            }
+            Effect::Ended(id, status) => {
+                let home = self.homes.remove(&id);
+                if let Some(line) = viewer::ended(id, status) {
+                    self.say_anywhere(now, home, line, out);
+                }
+            }
+            Effect::Moved(id) => {
+                let home = self.homes.remove(&id);
+                self.say_anywhere(now, home, viewer::moved(id), out);
+            }
+            Effect::Log(text) => self.log.push(text),
+        }
+    }
+
+    fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
+        let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
+        if let Err(status) = self.links.set_up(now, set_up, &class, out) {
+            let (id, server, load) = (set_up.id, set_up.server.clone(), Load::default());
+            self.tell(now, Input::Over { id, server, status, load }, out);
+        }
+    }
+
+    /// The answer to a request goes out on its connection.
+    fn answered(&mut self, id: SessionId) -> Option<ConnId> {
+        let home = self.homes.get(&id).copied();
+        if let Some(c) = home.and_then(|home| self.viewers.get_mut(&home)) {
+            c.open.remove(&id);
+        }
+        home
+    }
+
+    fn forget(&mut self, id: SessionId) {
+        if let Some(home) = self.homes.remove(&id)
+            && let Some(c) = self.viewers.get_mut(&home)
+        {
+            c.open.remove(&id);
+        }
+    }
+
+    fn say(&mut self, _now: Micros, conn: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
+        if let (Some(conn), Ok(bytes)) = (conn.filter(|c| self.viewers.contains_key(c)), line.encode()) {
+            out.push(Command::Write(conn, bytes, None));
+        }
+    }
+
+    /// A session that stands belongs to no connection: its end goes out on its own, on any, or on the next.
+    fn say_anywhere(&mut self, now: Micros, home: Option<ConnId>, line: Line, out: &mut Vec<Command>) {
+        let open = home.filter(|c| self.viewers.contains_key(c));
+        match open.or_else(|| self.viewers.last_key_value().map(|(conn, _)| *conn)) {
+            Some(conn) => self.say(now, Some(conn), &line, out),
+            None => self.owed.push_back((now + OWED_KEPT, line)),
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/links.rs
@@ -0,0 +1,339 @@
+//! Connections to edge servers: few for each, many sessions on one. Sessions that stand belong to none of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::load_report;
+use crate::api::{Load, Micros, Note, Rung, ServerId, SessionId, Status};
+use crate::broker::{Description, SetUp};
+use crate::message::binary::{Builder, Decoder, Packet, code};
+use crate::message::{Kind, Malformed, cause};
+
+/// A connection, counted from the start of the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// A connection that was idle for nearly as long as servers allow is not used any more: a set-up that crosses
+/// its close could be neither proved nor disproved to have run.
+const IDLE_SPARE: Micros = Micros(3_000_000);
+/// How much later than due a server's notes may come before its connection is taken to be dead.
+const NOTES_SPARE: Micros = Micros(500_000);
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Open a connection.
+    Dial(ConnId, SocketAddr),
+    /// Write bytes; a set-up's are marked by its session.
+    Write(ConnId, Vec<u8>, Option<SessionId>),
+    /// Write out what is queued, then close, leaving a log line with this reason.
+    Close(ConnId, &'static str),
+}
+
+/// What an edge server says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// The session stands, with this description.
+    Answer(SessionId, Description),
+    /// The attempt or the session is over.
+    Release(SessionId, u8, Load),
+    /// A note on a session.
+    Note(SessionId, Note),
+}
+
+/// How a connection ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// It never came up.
+    NeverOpened,
+    /// It ended; the set-ups named had not left with a single byte.
+    Ended(Vec<SessionId>),
+}
+
+/// What a connection takes with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Its server.
+    pub server: ServerId,
+    /// How each set-up that was open on it ended.
+    pub over: Vec<(SessionId, Status)>,
+    /// No other connection to that server is up: it may be lost.
+    pub only: bool,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    decoder: Decoder,
+    server: ServerId,
+    open: bool,
+    suspect: bool,
+    /// Waits for the connection to come up.
+    queue: Vec<(Option<SessionId>, Vec<u8>)>,
+    /// Set-ups that wait for an answer, and when they were written.
+    set_ups: BTreeMap<SessionId, Micros>,
+    heard: Micros,
+    used: Micros,
+}
+
+/// All connections to edge servers.
+#[derive(Debug)]
+pub struct Links {
+    addresses: BTreeMap<ServerId, SocketAddr>,
+    links: BTreeMap<ConnId, Link>,
+    /// When a server was last heard of, or found to accept a connection.
+    alive: BTreeMap<ServerId, Micros>,
+    next: u64,
+    idle: Micros,
+    quiet: Micros,
+}
+
+/// What a set-up's or a session's release tells.
+pub fn status(cause: u8, stands: bool) -> Status {
+    match (stands, cause) {
+        (true, cause::NORMAL) => Status::Completed,
+        (true, cause::CANCELLED) => Status::Cancelled,
+        (false, cause::FULL) => Status::Saturated,
+        (false, cause::ERROR) => Status::Errored,
+        (false, cause::MOOT) => Status::Moot,
+        _ => Status::Reset,
+    }
+}
+
+impl Links {
+    /// No connections yet. Idle ones are closed by servers after `idle`; servers with sessions send notes each
+    /// `tell`, late by `see`.
+    pub fn new(idle: Micros, tell: Micros, see: Micros) -> Links {
+        let quiet = if tell == Micros(0) { Micros::MAX } else { tell + see + NOTES_SPARE };
+        let (addresses, links, alive) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Links { addresses, links, alive, next: 0, idle, quiet }
+    }
+
+    /// Notes where a server listens.
+    pub fn listed(&mut self, server: &ServerId, address: SocketAddr) {
+        self.addresses.insert(server.clone(), address);
+    }
+
+    /// Whether it is one of these connections.
+    pub fn has(&self, conn: ConnId) -> bool {
+        self.links.contains_key(&conn)
+    }
+
+    /// The number of connections.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// Numbers for connections of other fronts come from here too.
+    pub fn number(&mut self) -> ConnId {
+        self.next += 1;
+        ConnId(self.next)
+    }
+
+    fn usable(&self, now: Micros, server: &ServerId) -> Option<ConnId> {
+        let good = |l: &Link| {
+            l.server == *server
+                && !l.suspect
+                && (!l.open || self.idle == Micros(0) || now - l.used.max(l.heard) + IDLE_SPARE < self.idle)
+        };
+        self.links.iter().filter(|(_, l)| good(l)).max_by_key(|(id, l)| (l.open, **id)).map(|(id, _)| *id)
+    }
+
+    fn dial(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) -> Option<ConnId> {
+        let address = *self.addresses.get(server)?;
+        let conn = self.number();
+        let link = Link { server: server.clone(), heard: now, used: now, ..Link::default() };
+        self.links.insert(conn, link);
+        out.push(Command::Dial(conn, address));
+        Some(conn)
+    }
+
+    /// Opens a connection where none is, so that a server's notes and releases have a way.
+    pub fn attend(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
+        if self.usable(now, server).is_none() {
+            self.dial(now, server, out);
+        }
+    }
+
+    /// Opens one more connection, whose failure tells that the server is lost.
+    pub fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) -> bool {
+        let dialling = self.links.values().any(|l| l.server == *server && !l.open);
+        dialling || self.dial(now, server, out).is_some()
+    }
+
+    fn write(
+        &mut self,
+        now: Micros,
+        server: &ServerId,
+        bytes: Vec<u8>,
+        set_up: Option<SessionId>,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let Some(conn) = self.usable(now, server).or_else(|| self.dial(now, server, out)) else {
+            return false;
+        };
+        let Some(link) = self.links.get_mut(&conn) else { return false };
+        link.used = now;
+        if let Some(id) = set_up {
+            link.set_ups.insert(id, now);
+        }
+        if link.open {
+            out.push(Command::Write(conn, bytes, set_up));
+        } else {
+            link.queue.push((set_up, bytes));
+        }
+        true
+    }
+
+    /// Sends a set-up on. An error tells how the attempt ended at once: nothing ran.
+    pub fn set_up(
+        &mut self,
+        now: Micros,
+        s: &SetUp,
+        class: &str,
+        out: &mut Vec<Command>,
+    ) -> Result<(), Status> {
+        let mut message = Builder::new(Kind::SetUp, s.id)
+            .with(code::CLASS, class.as_bytes())
+            .with(code::WAIT, (s.wait.0 / 1000).to_string().as_bytes())
+            .with(code::TITLE, s.title.as_bytes());
+        if let Some(rung) = s.rung {
+            message = message.with(code::RUNG, rung.0.to_string().as_bytes());
+        }
+        let bytes = message.with(code::DESCRIPTION, &s.offer).finish().map_err(|_| Status::Moot)?;
+        if self.write(now, &s.server, bytes, Some(s.id), out) { Ok(()) } else { Err(Status::ConnectFailed) }
+    }
+
+    /// Gives a set-up up. One that waits for its connection is taken back and never leaves.
+    pub fn give_up(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
+        let own = |l: &&mut Link| l.server == *server && l.set_ups.contains_key(&id);
+        let Some(link) = self.links.values_mut().find(own) else { return };
+        let written = link.set_ups.remove(&id);
+        let queued = link.queue.len();
+        link.queue.retain(|(of, _)| *of != Some(id));
+        if link.queue.len() < queued {
+            return;
+        }
+        // Not a byte since: a fresh connection shall tell whether the server can be reached at all.
+        if written.is_some_and(|at| link.heard < at) {
+            link.suspect = true;
+        }
+        self.release(now, id, server, out);
+    }
+
+    /// Ends a session, or an attempt that was given up.
+    pub fn release(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
+        if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
+            self.write(now, server, bytes, None, out);
+        }
+    }
+
+    /// Tells a server a session's new rung.
+    pub fn rate(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        server: &ServerId,
+        rung: Rung,
+        out: &mut Vec<Command>,
+    ) {
+        if let Ok(bytes) =
+            Builder::new(Kind::Rate, id).with(code::RUNG, rung.0.to_string().as_bytes()).finish()
+        {
+            self.write(now, server, bytes, None, out);
+        }
+    }
+
+    /// A connection has come up.
+    pub fn opened(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        (link.open, link.heard) = (true, now);
+        for (set_up, bytes) in link.queue.drain(..) {
+            if let Some(id) = set_up {
+                link.set_ups.insert(id, now);
+            }
+            out.push(Command::Write(conn, bytes, set_up));
+        }
+        let server = link.server.clone();
+        self.alive.insert(server.clone(), now);
+        // The ones before it said nothing for too long, or are about to be closed.
+        for (id, old) in self.links.iter().filter(|(id, l)| **id != conn && l.server == server) {
+            if old.open && old.set_ups.is_empty() {
+                out.push(Command::Close(*id, "replaced"));
+            }
+        }
+    }
+
+    /// Takes bytes of a connection in.
+    pub fn bytes(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        bytes: &[u8],
+    ) -> Result<(ServerId, Vec<Heard>), Malformed> {
+        let Some(link) = self.links.get_mut(&conn) else { return Ok((ServerId::default(), Vec::new())) };
+        (link.heard, link.suspect) = (now, false);
+        self.alive.insert(link.server.clone(), now);
+        link.decoder.feed(bytes);
+        let mut heard = Vec::new();
+        while let Some(packet) = link.decoder.next_packet()? {
+            let id = packet.id;
+            match packet.kind {
+                Kind::Answer => {
+                    link.set_ups.remove(&id);
+                    let description = packet.value(code::DESCRIPTION).unwrap_or_default();
+                    heard.push(Heard::Answer(id, Description::from(description)));
+                }
+                Kind::Release => {
+                    link.set_ups.remove(&id);
+                    let load = packet.text(code::LOAD).map(load_report).unwrap_or_default();
+                    heard.push(Heard::Release(id, packet.cause().unwrap_or(cause::RESET), load));
+                }
+                Kind::Note => heard.extend(note(&packet).map(|note| Heard::Note(id, note))),
+                Kind::Progress | Kind::Released | Kind::Pong | Kind::Ping | Kind::Move | Kind::Rate => {}
+                Kind::SetUp => return Err(Malformed::UnknownType),
+            }
+        }
+        Ok((link.server.clone(), heard))
+    }
+
+    /// A connection has ended.
+    pub fn closed(&mut self, conn: ConnId, how: &Closed) -> Option<Broken> {
+        let link = self.links.remove(&conn)?;
+        let ended = |id: SessionId| match how {
+            Closed::NeverOpened => (id, Status::ConnectFailed),
+            Closed::Ended(unsent) if unsent.contains(&id) => (id, Status::ConnectFailed),
+            // Some of it may have reached the server: that proves nothing.
+            Closed::Ended(_) => (id, Status::Reset),
+        };
+        let over = link.set_ups.keys().copied().map(ended).collect();
+        let only = !self.links.values().any(|l| l.server == link.server && l.open);
+        Some(Broken { server: link.server, over, only })
+    }
+
+    /// Servers, of those given, that have been silent for too long.
+    pub fn silent(&self, now: Micros, of: impl Iterator<Item = ServerId>) -> Vec<ServerId> {
+        let quiet = |s: &ServerId| self.alive.get(s).is_none_or(|at| now - *at > self.quiet);
+        of.filter(quiet).collect()
+    }
+
+    /// Servers that connections are open to.
+    pub fn connected(&self) -> BTreeSet<ServerId> {
+        self.links.values().filter(|l| l.open).map(|l| l.server.clone()).collect()
+    }
+}
+
+fn note(packet: &Packet<'_>) -> Option<Note> {
+    let figure = packet.text(code::FIGURE)?.trim().parse::<f64>().ok().filter(|x| x.is_finite())?;
+    Some(match packet.text(code::NOTE)? {
+        "kept_up" => Note::Delivered(figure),
+        "tier" => Note::Rung(Rung(figure.max(0.0) as usize)),
+        "wire" => Note::Link(figure),
+        "trunk" => Note::Uplink(figure),
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,53 @@
+//! The platform's front: viewers' JSON lines on one side, edge servers' binary messages on the other, as state
+//! machines of bytes. They decide nothing and know no socket.
+
+pub mod links;
+pub mod viewer;
+
+use crate::api::{Class, Load, Settings};
+
+/// Names that the settings give to what the core counts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Classes, in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of servers.
+    pub kinds: Vec<String>,
+}
+
+impl Names {
+    /// The index of a name, if it is one.
+    pub fn index(list: &[String], name: &str) -> Option<usize> {
+        list.iter().position(|n| n == name)
+    }
+}
+
+/// Reads a load report such as `x0:12;x1:40;queue:3`; what is not known or not a number is skipped.
+pub fn load_report(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split([';', ',']).filter_map(|pair| pair.split_once(':')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+        let slot = match name.trim() {
+            "rif" | "inflight" => &mut load.inflight,
+            "q" | "queue" => &mut load.queue,
+            "busy" | "util" => &mut load.util,
+            "lat_ms" | "latency_ms" => &mut load.latency_ms,
+            "rate" | "qps" => &mut load.rate,
+            "fail_rate" | "eps" => &mut load.fail_rate,
+            "x0" => &mut load.link,
+            "x1" => &mut load.uplink,
+            _ => continue,
+        };
+        *slot = Some(value);
+    }
+    load
+}
+
+/// The longest time that a viewer of any class waits for an answer.
+pub fn longest_deadline(settings: &Settings) -> crate::api::Micros {
+    settings.classes.iter().map(|c: &Class| c.deadline).max().unwrap_or_default()
+}
--- /dev/null
+++ b/src/platform/viewer.rs
@@ -0,0 +1,126 @@
+//! A viewer's connection: JSON lines in, what they ask for out; and the lines that answer them.
+
+use super::Names;
+use crate::api::{Micros, Request, Rung, ServerId, SessionId, Status, Text};
+use crate::message::line::{Decoder, Line};
+use crate::message::{Kind, Malformed, cause};
+
+/// What a viewer says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// It asks for a session, with a description.
+    SetUp(Request, String),
+    /// It names a session that plays at a server already.
+    Playing(Request, ServerId),
+    /// It gives a set-up up, or ends its session.
+    Release(SessionId),
+    /// It tests the broker.
+    Ping(SessionId),
+}
+
+/// The reading side of one connection.
+#[derive(Debug, Default)]
+pub struct Viewer {
+    decoder: Decoder,
+}
+
+impl Viewer {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.decoder.feed(bytes);
+    }
+
+    /// The next thing said, or none until more bytes come.
+    pub fn next(&mut self, now: Micros, names: &Names) -> Result<Option<Said>, Malformed> {
+        while let Some(line) = self.decoder.next_line()? {
+            match line.kind {
+                Kind::SetUp => return set_up(line, now, names).map(Some),
+                Kind::Release => return Ok(Some(Said::Release(line.id))),
+                Kind::Ping => return Ok(Some(Said::Ping(line.id))),
+                // Free: they mean nothing.
+                Kind::Progress | Kind::Released | Kind::Pong => {}
+                Kind::Answer | Kind::Note | Kind::Move | Kind::Rate => return Err(Malformed::UnknownType),
+            }
+        }
+        Ok(None)
+    }
+}
+
+fn set_up(line: Line, now: Micros, names: &Names) -> Result<Said, Malformed> {
+    let field = |name: &str| line.fields.get(name).map(String::as_str);
+    let number = |text: &str| text.trim().parse::<f64>().ok().filter(|x| x.is_finite());
+    let class = field("class").and_then(|c| Names::index(&names.classes, c)).ok_or(Malformed::BadField)?;
+    let tenant = match field("tenant") {
+        None => 0,
+        Some(name) => Names::index(&names.tenants, name).ok_or(Malformed::BadField)?,
+    };
+    let mut request = Request::new(line.id, Text::from(field("key").unwrap_or("")), now, 0, usize::MAX);
+    (request.class, request.tenant) = (class, tenant);
+    let mut at = None;
+    let (mut copies, mut left) = (None, field("left").and_then(number));
+    for (name, value) in field("extras").unwrap_or("").split(';').filter_map(|pair| pair.split_once(':')) {
+        let whole = || value.trim().parse::<u32>().map_err(|_| Malformed::BadField);
+        match name.trim() {
+            "home" => request.home = whole()?,
+            "copies" => copies = Some(whole()?),
+            "top" => request.top = Rung(whole()? as usize),
+            "viewer" => request.viewer = Text::from(value),
+            "again" => request.again = value != "0",
+            "moved" | "midflow" => request.moved = value != "0",
+            "at" => at = Some(ServerId::new(value)),
+            // Unknown figures are skipped like unknown fields.
+            _ => {}
+        }
+    }
+    request.retry = field("retry").is_some_and(|r| r != "0");
+    request.hint = field("hint").and_then(number).filter(|h| *h > 0.0);
+    if let Some(server) = at {
+        request.copies = copies.unwrap_or(0);
+        request.due = now + Micros::from_ms(left.take().unwrap_or(0.0));
+        return Ok(Said::Playing(request, server));
+    }
+    request.copies = copies.ok_or(Malformed::BadField)?;
+    request.due = now + Micros::from_ms(left.ok_or(Malformed::BadField)?);
+    Ok(Said::SetUp(request, line.sdp.ok_or(Malformed::BadField)?))
+}
+
+/// The session stands.
+pub fn answer(id: SessionId, description: &str) -> Line {
+    Line::new(Kind::Answer, id).sdp(description)
+}
+
+/// Refused: coming again is harmless, after the wait if there is one.
+pub fn refused(id: SessionId, wait: Micros) -> Line {
+    let line = Line::new(Kind::Release, id).cause(cause::REFUSED);
+    if wait == Micros(0) { line } else { line.field("wait", wait.0.div_ceil(1000)) }
+}
+
+/// Failed.
+pub fn failed(id: SessionId) -> Line {
+    Line::new(Kind::Release, id).cause(cause::ERROR)
+}
+
+/// The session is over; none if its viewer is owed nothing.
+pub fn ended(id: SessionId, status: Status) -> Option<Line> {
+    let cause = match status {
+        Status::Cancelled => return None,
+        Status::Completed => cause::NORMAL,
+        _ => cause::RESET,
+    };
+    Some(Line::new(Kind::Release, id).cause(cause))
+}
+
+/// The session is moved.
+pub fn moved(id: SessionId) -> Line {
+    Line::new(Kind::Move, id)
+}
+
+/// A test's result.
+pub fn pong(id: SessionId, passed: bool) -> Line {
+    Line::new(Kind::Pong, id).cause(u8::from(passed))
+}
+
+/// A release was heard.
+pub fn released(id: SessionId) -> Line {
+    Line::new(Kind::Released, id)
+}
