Add the WHIP and WHEP front, with bookings that are set up at most once

Added: an HTTP/1.1 codec, the front as a state machine of bytes (bookings as idempotency keys, reclaim after a cut connection, DELETE during an attempt), an operator's file, the script hook and Eureka as a source of the list, all off on the platform.

Seen while writing the cut tests: the chunked reader took the blank line after the last chunk only if it was already there; a cut before it left a CRLF in front of the next head. The reader now waits for that line.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -93,11 +93,11 @@
 
 /// Why a request was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// A server or a connection failed it.
-    Attempt,
-    /// Its time ran out.
-    Deadline,
+pub struct Failure {
+    /// Its time ran out; else a server or a connection failed it.
+    pub deadline: bool,
+    /// An attempt may have run.
+    pub may_have_run: bool,
 }
 
 /// What is to be done.
@@ -419,7 +419,7 @@
                 let owed = self.sessions.get(&id).is_some_and(|s| !matches!(s.stage, Stage::Standing { .. }));
                 if owed {
                     self.pending.push_back(Event::Gone(id));
-                    self.fail(now, id, Failure::Deadline, out);
+                    self.fail(now, id, true, out);
                 }
             }
             Alarm::Forget(id, server) => {
@@ -434,7 +434,7 @@
             Action::Refuse { id, retry_after } => self.refuse(now, id, retry_after, out),
             Action::Fail(id) => {
                 let late = self.sessions.get(&id).is_some_and(|s| s.late || now + Micros(100_000) >= s.due);
-                self.fail(now, id, if late { Failure::Deadline } else { Failure::Attempt }, out);
+                self.fail(now, id, late, out);
             }
             Action::Cancel { id, attempt } => {
                 let stage = self.sessions.get(&id).map(|s| &s.stage);
@@ -502,19 +502,19 @@
             return;
         }
         if !Guard::may_refuse(self.classes[s.class], s.history) {
-            return self.fail(now, id, Failure::Attempt, out);
+            return self.fail(now, id, false, out);
         }
         out.push(Effect::Refused(id, wait));
         self.drop_attempt(now, id, Status::Cancelled, true, out);
         self.sessions.remove(&id);
     }
 
-    fn fail(&mut self, now: Micros, id: SessionId, why: Failure, out: &mut Vec<Effect>) {
-        match self.sessions.get(&id).map(|s| &s.stage) {
-            None | Some(Stage::Standing { .. }) => return,
-            Some(Stage::Waiting | Stage::Trying { .. }) => {}
-        }
-        out.push(Effect::Failed(id, why));
+    fn fail(&mut self, now: Micros, id: SessionId, deadline: bool, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&id).filter(|s| !matches!(s.stage, Stage::Standing { .. })) else {
+            return;
+        };
+        let may_have_run = s.history.may_have_run || s.history.out;
+        out.push(Effect::Failed(id, Failure { deadline, may_have_run }));
         self.drop_attempt(now, id, Status::Cancelled, true, out);
         self.sessions.remove(&id);
     }
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -84,56 +84,70 @@
     Chunked,
 }
 
+/// What the next line of a chunked body is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Next {
+    /// The size of a chunk.
+    #[default]
+    Size,
+    /// The line feed after a chunk's data.
+    Tail,
+    /// A trailer, or the blank line that ends the body.
+    Trailer,
+    /// Nothing: the body has ended.
+    Nothing,
+}
+
+/// Longest line between chunks.
+const LONGEST_LINE: usize = 1024;
+
 /// Takes chunks off the front of a stream.
 #[derive(Debug, Default)]
 pub struct Chunks {
     left: usize,
-    /// The line feed after a chunk's data is still to come.
-    tail: bool,
-    ended: bool,
+    next: Next,
 }
 
 impl Chunks {
-    /// Moves what is whole from the input to the body; true once the last chunk has come.
+    /// Moves what is whole from the input to the body; true once the last chunk and its blank line have come.
     pub fn take(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<bool, HttpError> {
         let mut at = 0;
-        while !self.ended {
+        while self.next != Next::Nothing {
             let rest = &input[at..];
             if self.left > 0 {
                 let n = self.left.min(rest.len());
                 body.extend_from_slice(&rest[..n]);
                 (self.left, at) = (self.left - n, at + n);
-                self.tail = self.left == 0;
-                if n == 0 || self.left > 0 {
+                if self.left > 0 {
                     break;
                 }
+                self.next = Next::Tail;
                 continue;
             }
             let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
-                if rest.len() > 1024 {
+                if rest.len() > LONGEST_LINE {
                     return Err(HttpError::BadBody);
                 }
                 break;
             };
             let line = std::str::from_utf8(&rest[..end]).map_err(|_| HttpError::BadBody)?;
             at += end + 2;
-            if std::mem::take(&mut self.tail) {
-                if !line.is_empty() {
-                    return Err(HttpError::BadBody);
+            self.next = match self.next {
+                Next::Tail if line.is_empty() => Next::Size,
+                Next::Tail => return Err(HttpError::BadBody),
+                // Trailers are skipped; without the blank line after them the next message would begin early.
+                Next::Trailer if line.is_empty() => Next::Nothing,
+                Next::Trailer | Next::Nothing => self.next,
+                Next::Size => {
+                    let size = line.split(';').next().unwrap_or("").trim();
+                    let hex = !size.is_empty() && size.bytes().all(|b| b.is_ascii_hexdigit());
+                    let size = if hex { usize::from_str_radix(size, 16).ok() } else { None };
+                    self.left = size.ok_or(HttpError::BadBody)?;
+                    if self.left == 0 { Next::Trailer } else { Next::Size }
                 }
-                continue;
-            }
-            let size = line.split(';').next().unwrap_or("").trim();
-            self.left = usize::from_str_radix(size, 16).map_err(|_| HttpError::BadBody)?;
-            if self.left == 0 {
-                // Trailers are not read: the blank line after the last chunk ends the body.
-                self.ended = true;
-                if input[at..].starts_with(b"\r\n") {
-                    at += 2;
-                }
-            }
+            };
         }
         input.drain(..at);
-        Ok(self.ended)
+        Ok(self.next == Next::Nothing)
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -48,7 +48,7 @@
     }
 
     /// The next whole request, or none until more bytes come. A body may be so long.
-    pub fn next(&mut self, largest: usize) -> Result<Option<Request>, HttpError> {
+    pub fn next_request(&mut self, largest: usize) -> Result<Option<Request>, HttpError> {
         if self.open.is_none() {
             let Some((request, body, length)) = read_head(&self.buffer)? else { return Ok(None) };
             self.buffer.drain(..length);
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use amberspindle::config::Config;
@@ -9,12 +10,14 @@
 const HELP: &str = "\
 amberspindle: a playback broker
 
-usage: amberspindle serve      serve until SIGTERM or SIGINT
-       amberspindle check      say whether the configuration can work
-       amberspindle version    print the version
-       amberspindle help       print this
+usage: amberspindle serve [--config FILE]      serve until SIGTERM or SIGINT
+       amberspindle check [--config FILE]      say whether the configuration can work
+       amberspindle version                    print the version
+       amberspindle help                       print this
 
-The configuration is the JSON file that LB_CONFIG names; LB_NAME and LB_LISTEN go before it.";
+options: --config FILE          an operator's file (TOML); see deploy/operator.toml
+
+Without --config the configuration is the JSON file that LB_CONFIG names; LB_NAME and LB_LISTEN go before it.";
 
 fn main() -> ExitCode {
     match command() {
@@ -36,16 +39,17 @@
         return version();
     }
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
+    let file: Option<PathBuf> = arguments.opt_value_from_str("--config").map_err(|e| e.to_string())?;
     let rest = arguments.finish();
     if let Some(extra) = rest.first() {
         return Err(format!("{}: not understood; see 'amberspindle help'", extra.to_string_lossy()));
     }
     match command.as_deref() {
         Some("serve") => {
-            let config = config()?;
+            let config = config(file)?;
             net::run(&config).map_err(|e| format!("can't serve: {e}"))
         }
-        Some("check") => config().map(|config| println!("{}: the configuration can work", config.name)),
+        Some("check") => config(file).map(|config| println!("{}: the configuration can work", config.name)),
         Some("version") => version(),
         Some("help") | None => {
             println!("{HELP}");
@@ -60,7 +64,10 @@
     Ok(())
 }
 
-fn config() -> Result<Config, String> {
+fn config(file: Option<PathBuf>) -> Result<Config, String> {
+    if let Some(file) = file {
+        return Config::operator(&file).map_err(|e| e.to_string());
+    }
     let env: BTreeMap<String, String> = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
         .collect();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,7 +18,9 @@
 use crate::api::Micros;
 use crate::board::{self, Board};
 use crate::config::Config;
-use crate::node::Node;
+use crate::eureka::{self, Call, Eureka};
+use crate::http::client;
+use crate::node::{Front, Node};
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::platform::longest_deadline;
 use outbox::{Bell, Outbox};
@@ -28,6 +30,9 @@
 /// How long sessions that play may keep a broker up that was told to stop.
 const LINGER: Micros = Micros(30_000_000);
 
+/// A call to the registry that takes longer has failed.
+const CALL: Duration = Duration::from_secs(3);
+
 struct Shared {
     executor: LocalExecutor<'static>,
     node: RefCell<Node>,
@@ -133,6 +138,10 @@
     }
 }
 
+fn ended_with(outbox: &Outbox) -> Closed {
+    Closed::Ended { unsent: outbox.unsent(), unfinished: outbox.unfinished() }
+}
+
 fn ended(shared: &Node0, conn: ConnId, peer: &str, reason: &str, how: Closed) {
     shared.boxes.borrow_mut().remove(&conn);
     log(&format!("end conn={} peer={peer} reason={reason}", conn.0));
@@ -154,7 +163,7 @@
             let _ = stream.get_ref().set_nodelay(true);
             step(&shared, |node, now, out| node.opened(now, conn, out));
             let reason = drive(&shared, conn, &stream, &outbox).await;
-            ended(&shared, conn, &peer, reason, Closed::Ended(outbox.unsent()));
+            ended(&shared, conn, &peer, reason, ended_with(&outbox));
         }
         Err(error) => {
             let reason =
@@ -164,20 +173,20 @@
     }
 }
 
-async fn serve(shared: Node0, stream: Async<TcpStream>, peer: SocketAddr) {
+async fn serve(shared: Node0, stream: Async<TcpStream>, peer: SocketAddr, front: Front) {
     let _ = stream.get_ref().set_nodelay(true);
     let outbox = Rc::new(Outbox::default());
     let conn = step(&shared, |node, _, _| node.number());
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
-    step(&shared, |node, now, out| node.accepted(now, conn, out));
+    step(&shared, |node, now, out| node.accepted(now, conn, front, out));
     let reason = drive(&shared, conn, &stream, &outbox).await;
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     shared.accepted.set(shared.accepted.get() - 1);
     shared.room.ring();
-    ended(&shared, conn, &format!("viewer:{peer}"), reason, Closed::Ended(outbox.unsent()));
+    ended(&shared, conn, &format!("{}:{peer}", front.name()), reason, ended_with(&outbox));
 }
 
-async fn accept(shared: Node0, listener: Async<TcpListener>, most: usize) {
+async fn accept(shared: Node0, listener: Async<TcpListener>, front: Front, most: usize) {
     loop {
         // Descriptors are few: what can't be held waits in the machine's queue.
         while shared.accepted.get() >= most {
@@ -186,7 +195,7 @@
         match listener.accept().await {
             Ok((stream, peer)) => {
                 shared.accepted.set(shared.accepted.get() + 1);
-                shared.executor.spawn(serve(shared.clone(), stream, peer)).detach();
+                shared.executor.spawn(serve(shared.clone(), stream, peer, front)).detach();
             }
             Err(error) => {
                 log(&format!("accept failed reason={}", code(&error)));
@@ -238,6 +247,61 @@
     }
 }
 
+/// One call to the registry, on a connection of its own.
+async fn call(shared: &Node0, registry: &mut Eureka, call: Call) {
+    let address = registry.address();
+    let work = async {
+        let mut stream = Async::<TcpStream>::connect(address).await?;
+        stream.write_all(&registry.request(call)).await?;
+        let (mut reader, mut body, mut buffer) = (client::Reader::default(), Vec::new(), vec![0; 16 * 1024]);
+        loop {
+            let n = stream.read(&mut buffer).await?;
+            let fed = reader.feed(&buffer[..n], &mut body);
+            fed.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+            match reader.status() {
+                Some(status) if reader.done(n == 0) => return Ok((status, body)),
+                _ if n == 0 || body.len() > eureka::LONGEST => {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                _ => {}
+            }
+        }
+    };
+    let reply = within(CALL, work).await;
+    if let Err(error) = &reply {
+        log(&format!("end peer=eureka:{address} reason={} call={call:?}", code(error)));
+    }
+    let reply = reply.as_ref().ok().map(|(status, body)| (*status, body.as_slice()));
+    if let Some(news) = registry.replied(shared.now(), call, reply) {
+        step(shared, |node, now, out| node.news(now, news, out));
+    }
+}
+
+/// Takes part in the registry until the bell rings, then leaves it.
+async fn take_part(shared: Node0, mut registry: Eureka, leave: Rc<Bell>) {
+    loop {
+        match registry.next(shared.now()) {
+            Ok(due) => call(&shared, &mut registry, due).await,
+            Err(at) => {
+                let wait = async {
+                    Timer::after(micros(at - shared.now())).await;
+                    false
+                };
+                let left = async {
+                    leave.heard().await;
+                    true
+                };
+                if future::or(left, wait).await {
+                    break;
+                }
+            }
+        }
+    }
+    if registry.registered() {
+        call(&shared, &mut registry, Call::Deregister).await;
+    }
+}
+
 /// Serves until it is told to stop.
 pub fn run(config: &Config) -> io::Result<()> {
     let shared = Rc::new(Shared {
@@ -261,17 +325,25 @@
     // A third for viewers is the platform's share; the rest is for servers and what is closing.
     let most = config.sockets / 2;
     let mut fronts = Vec::new();
-    if let Some(address) = config.listen {
+    let whip = config.whip.as_ref().map(|w| w.listen);
+    for (address, front) in [(config.listen, Front::Platform), (whip, Front::Whip)] {
+        let Some(address) = address else { continue };
         let listener = Async::<TcpListener>::bind(address)?;
-        log(&format!("{} listens on {}", config.name, listener.get_ref().local_addr()?));
-        fronts.push(shared.executor.spawn(accept(shared.clone(), listener, most)));
+        log(&format!("{} listens on {} for {}", config.name, listener.get_ref().local_addr()?, front.name()));
+        fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most)));
     }
+    let leave = Rc::new(Bell::default());
+    let registry = config.eureka.clone().map(|setup| {
+        let registry = Eureka::new(setup, config.names.clone());
+        shared.executor.spawn(take_part(shared.clone(), registry, leave.clone()))
+    });
     shared.executor.spawn(keep_time(shared.clone())).detach();
     let stop = async {
         let signal = signals.next().await;
         let asked = shared.now();
         log(&format!("stopping signal={signal:?}"));
         shared.node.borrow_mut().stop();
+        leave.ring();
         Timer::after(micros(STILL_COMING)).await;
         drop(fronts);
         // What was taken is answered; sessions that play end with this broker, so it stays up for them.
@@ -285,6 +357,9 @@
             }
             Timer::after(Duration::from_millis(20)).await;
         }
+        if let Some(registry) = registry {
+            registry.await;
+        }
         // Last words are still on their way out.
         Timer::after(Duration::from_millis(50)).await;
         log("stopped");
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -119,6 +119,11 @@
         let begun = usize::from(self.offset.get() > 0);
         self.queue.borrow().iter().skip(begun).filter_map(|(_, tag)| *tag).collect()
     }
+
+    /// Marks of all that was not written whole.
+    pub fn unfinished(&self) -> Vec<SessionId> {
+        self.queue.borrow().iter().filter_map(|(_, tag)| *tag).collect()
+    }
 }
 
 #[cfg(test)]
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,18 +5,41 @@
 
 use crate::api::*;
 use crate::board::News;
-use crate::broker::{Broker, Effect, Failure, Input, SetUp};
+use crate::broker::{Broker, Description, Effect, Input, SetUp};
 use crate::config::Config;
+use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
 use crate::platform::Names;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, status};
 use crate::platform::viewer::{self, Said, Viewer};
+use crate::whip::{self, Wish};
 
 /// How long a release waits for a connection that it could go out on.
 const OWED_KEPT: Micros = Micros(8_000_000);
+/// Keeps the ids of the second front apart from the module's random numbers.
+const WHIP_SEED: u64 = 0x5748_4950;
 /// Time between looks at connections.
 const LOOK_EVERY: Micros = Micros(250_000);
 
+/// What a connection that was accepted speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    /// The platform's JSON lines.
+    Platform,
+    /// WHIP and WHEP over HTTP.
+    Whip,
+}
+
+impl Front {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Front::Platform => "viewer",
+            Front::Whip => "http",
+        }
+    }
+}
+
 #[derive(Default)]
 struct ViewerConn {
     viewer: Viewer,
@@ -30,6 +53,8 @@
     names: Names,
     links: Links,
     viewers: BTreeMap<ConnId, ViewerConn>,
+    whip: Option<whip::Front>,
+    hook: Option<Hook>,
     /// The connection that a session was set up on.
     homes: BTreeMap<SessionId, ConnId>,
     /// Lines that no connection was open for.
@@ -52,6 +77,10 @@
             names: config.names.clone(),
             links: Links::new(config.idle, tell, see),
             viewers: BTreeMap::new(),
+            whip: config.whip.as_ref().map(|w| {
+                whip::Front::new(w.setup.clone(), config.settings.classes.clone(), config.seed ^ WHIP_SEED)
+            }),
+            hook: config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok()),
             homes: BTreeMap::new(),
             owed: VecDeque::new(),
             starts: BTreeMap::new(),
@@ -89,7 +118,80 @@
             self.look_at = now + LOOK_EVERY;
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
+            self.whip(now, out, |whip, sure, wishes| whip.tick(now, sure, wishes));
+        }
+    }
+
+    /// Lets the WHIP front do something, then does what it wishes.
+    fn whip(
+        &mut self,
+        now: Micros,
+        out: &mut Vec<Command>,
+        act: impl FnOnce(&mut whip::Front, &dyn Fn(SessionId) -> bool, &mut Vec<Wish>),
+    ) {
+        let mut wishes = Vec::new();
+        if let Some(whip) = &mut self.whip {
+            let (broker, links) = (&self.broker, &self.links);
+            act(whip, &|id| broker.untried(id) || links.waits(id), &mut wishes);
+        }
+        for wish in wishes {
+            match wish {
+                Wish::Tell(Input::Request(request, offer)) => self.ask(now, request, offer, out),
+                Wish::Tell(input) => self.tell(now, input, out),
+                Wish::Write(conn, pieces, tag) => {
+                    out.extend(pieces.into_iter().map(|piece| Command::Write(conn, piece, tag)));
+                }
+                Wish::Close(conn, reason) => out.push(Command::Close(conn, reason)),
+            }
+        }
+    }
+
+    fn owned_by_whip(&self, id: SessionId) -> bool {
+        self.whip.as_ref().is_some_and(|whip| whip.owns(id))
+    }
+
+    /// A request goes to the core, unless the operator's script refuses it.
+    fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
+        if let Some(hook) = &mut self.hook {
+            let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
+            let (class, tenant) =
+                (name(&self.names.classes, request.class), name(&self.names.tenants, request.tenant));
+            let verdict = hook.on_request(&request, &class, &tenant);
+            match self.unhook(verdict) {
+                Some(Verdict::Refuse(wait)) => {
+                    return self.carry_out(now, Effect::Refused(request.id, wait), out);
+                }
+                Some(Verdict::Pass(top)) => request.top = top,
+                None => {}
+            }
         }
+        self.tell(now, Input::Request(request, offer), out);
+    }
+
+    /// An error of the script is logged, and the broker goes on without it.
+    fn unhook<T>(&mut self, result: Result<T, HookError>) -> Option<T> {
+        match result {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.log.push(format!("hook off reason={error}"));
+                self.hook = None;
+                None
+            }
+        }
+    }
+
+    fn observed(&mut self, effect: &Effect) {
+        let Some(hook) = &mut self.hook else { return };
+        let (id, outcome) = match effect {
+            Effect::Plays(id, _) => (*id, "plays"),
+            Effect::Refused(id, _) => (*id, "refused"),
+            Effect::Failed(id, _) => (*id, "failed"),
+            Effect::Ended(id, _) => (*id, "ended"),
+            Effect::Moved(id) => (*id, "moved"),
+            _ => return,
+        };
+        let told = hook.on_outcome(id, outcome);
+        self.unhook(told);
     }
 
     /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
@@ -136,8 +238,14 @@
         self.links.number()
     }
 
-    /// A viewer's connection was accepted.
-    pub fn accepted(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+    /// A client's connection was accepted.
+    pub fn accepted(&mut self, now: Micros, conn: ConnId, front: Front, out: &mut Vec<Command>) {
+        if front == Front::Whip {
+            if let Some(whip) = &mut self.whip {
+                whip.accepted(now, conn);
+            }
+            return;
+        }
         self.viewers.insert(conn, ViewerConn::default());
         // What waited for a connection goes out on it.
         for (until, line) in std::mem::take(&mut self.owed) {
@@ -165,6 +273,10 @@
             }
             return;
         }
+        if self.whip.as_ref().is_some_and(|whip| whip.has(conn)) {
+            self.whip(now, out, |whip, sure, wishes| whip.bytes(now, conn, bytes, sure, wishes));
+            return;
+        }
         let Some(c) = self.viewers.get_mut(&conn) else { return };
         c.viewer.feed(bytes);
         loop {
@@ -187,6 +299,14 @@
             }
             return;
         }
+        if self.whip.as_ref().is_some_and(|whip| whip.has(conn)) {
+            let unfinished = match how {
+                Closed::Ended { unfinished, .. } => unfinished.as_slice(),
+                Closed::NeverOpened => &[],
+            };
+            self.whip(now, out, |whip, _, wishes| whip.closed(now, conn, unfinished, wishes));
+            return;
+        }
         let Some(Broken { server, over, only }) = self.links.closed(conn, how) else { return };
         for (id, status) in over {
             let load = Load::default();
@@ -218,7 +338,7 @@
                 if let Some(c) = self.viewers.get_mut(&conn) {
                     c.open.insert(id);
                 }
-                self.tell(now, Input::Request(request, description.into_bytes().into()), out);
+                self.ask(now, request, description.into_bytes().into(), out);
             }
             Said::Playing(request, server) => {
                 self.homes.entry(request.id).or_insert(conn);
@@ -250,7 +370,23 @@
     }
 
     fn carry_out(&mut self, now: Micros, effect: Effect, out: &mut Vec<Command>) {
+        self.observed(&effect);
         match effect {
+            Effect::Plays(id, answer) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, wishes| whip.plays(now, id, answer, wishes));
+                self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
+            }
+            Effect::Refused(id, wait) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, wishes| whip.refused(id, wait, wishes));
+                self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
+            }
+            Effect::Failed(id, why) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, wishes| whip.failed(now, id, why, wishes));
+                self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
+            }
+            Effect::Ended(id, _) | Effect::Moved(id) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, _| whip.over(now, id));
+            }
             Effect::SetUp(set_up) => self.send(now, &set_up, out),
             Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
             Effect::Cut(id, server) => {
@@ -275,7 +411,7 @@
                 self.forget(id);
                 self.say(now, home, &viewer::refused(id, wait), out);
             }
-            Effect::Failed(id, Failure::Attempt | Failure::Deadline) => {
+            Effect::Failed(id, _) => {
                 let home = self.answered(id);
                 self.forget(id);
                 self.say(now, home, &viewer::failed(id), out);
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -46,8 +46,13 @@
 pub enum Closed {
     /// It never came up.
     NeverOpened,
-    /// It ended; the set-ups named had not left with a single byte.
-    Ended(Vec<SessionId>),
+    /// It ended.
+    Ended {
+        /// Of what was marked by these, not a byte was written.
+        unsent: Vec<SessionId>,
+        /// Of what was marked by these, not all was written.
+        unfinished: Vec<SessionId>,
+    },
 }
 
 /// What a connection takes with it.
@@ -225,6 +230,11 @@
         self.release(now, id, server, out);
     }
 
+    /// Whether a set-up still waits for its connection to come up, so that it certainly has not run.
+    pub fn waits(&self, id: SessionId) -> bool {
+        self.links.values().any(|l| l.queue.iter().any(|(of, _)| *of == Some(id)))
+    }
+
     /// Ends a session, or an attempt that was given up.
     pub fn release(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
         if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
@@ -306,9 +316,9 @@
         let link = self.links.remove(&conn)?;
         let ended = |id: SessionId| match how {
             Closed::NeverOpened => (id, Status::ConnectFailed),
-            Closed::Ended(unsent) if unsent.contains(&id) => (id, Status::ConnectFailed),
+            Closed::Ended { unsent, .. } if unsent.contains(&id) => (id, Status::ConnectFailed),
             // Some of it may have reached the server: that proves nothing.
-            Closed::Ended(_) => (id, Status::Reset),
+            Closed::Ended { .. } => (id, Status::Reset),
         };
         let over = link.set_ups.keys().copied().map(ended).collect();
         let only = !self.links.values().any(|l| l.server == link.server && l.open);
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,194 @@
+//! Every parser against random cuts of valid messages and random garbage, from fixed seeds.
+
+use amberspindle::api::{Micros, SessionId};
+use amberspindle::board::Board;
+use amberspindle::http::{client, server, sse};
+use amberspindle::message::line::Line;
+use amberspindle::message::{Kind, LARGEST, Malformed, binary, line};
+use amberspindle::platform::links::{ConnId, Links};
+use amberspindle::platform::viewer::{Said, Viewer};
+use amberspindle::platform::{Names, load_report};
+use amberspindle::whip::Route;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Runs a property on cases from a fixed seed; nothing is kept between runs.
+fn cases<S: Strategy>(strategy: S, property: impl Fn(S::Value)) {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]));
+    runner
+        .run(&strategy, |value| {
+            property(value);
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Hands bytes over in pieces cut at these places.
+fn cut(bytes: &[u8], cuts: &[usize], mut feed: impl FnMut(&[u8])) {
+    let mut at: Vec<usize> = cuts.iter().map(|c| c % (bytes.len() + 1)).collect();
+    at.extend([0, bytes.len()]);
+    at.sort_unstable();
+    at.windows(2).for_each(|w| feed(&bytes[w[0]..w[1]]));
+}
+
+fn cuts() -> impl Strategy<Value = Vec<usize>> {
+    vec(any::<usize>(), 0..8)
+}
+
+fn garbage() -> impl Strategy<Value = Vec<u8>> {
+    let words = [
+        "HTTP/1.1 200 OK\r\n",
+        "Content-Length: 3\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "\r\n\r\n",
+        "5\r\n",
+        "data: {\"rev\":9,\"pool\":{\"all\":true,\"targets\":[{}]}}\n\n",
+        "{\"type\":\"setup\",\"id\":",
+        "\n",
+        "\0\x0b\x01",
+    ];
+    let word = proptest::sample::select(words.to_vec()).prop_map(|w| w.as_bytes().to_vec());
+    vec(prop_oneof![word, vec(any::<u8>(), 0..40)], 0..12).prop_map(|parts| parts.concat())
+}
+
+#[test]
+fn binary_messages_survive_cuts() {
+    let parameters = vec((any::<u8>(), vec(any::<u8>(), 0..300)), 0..5);
+    cases((vec((any::<u64>(), parameters), 1..6), cuts()), |(messages, cuts)| {
+        let build = |(id, parameters): &(u64, Vec<(u8, Vec<u8>)>)| {
+            let start = binary::Builder::new(Kind::Note, SessionId(*id));
+            parameters.iter().fold(start, |b, (code, value)| b.with(*code, value)).finish().unwrap()
+        };
+        let bytes: Vec<u8> = messages.iter().flat_map(build).collect();
+        let (mut decoder, mut read) = (binary::Decoder::default(), 0);
+        cut(&bytes, &cuts, |piece| {
+            decoder.feed(piece);
+            while let Some(packet) = decoder.next_packet().unwrap() {
+                let (id, parameters) = &messages[read];
+                assert_eq!(packet.id.0, *id);
+                for (code, _) in parameters {
+                    let first = parameters.iter().find(|(c, _)| c == code).map(|(_, v)| v.as_slice());
+                    assert_eq!(packet.value(*code), first);
+                }
+                read += 1;
+            }
+        });
+        assert_eq!(read, messages.len());
+    });
+}
+
+#[test]
+fn lines_survive_cuts() {
+    cases((vec((any::<u64>(), any::<u8>(), ".{0,40}"), 1..6), cuts()), |(messages, cuts)| {
+        let line = |(id, cause, text): &(u64, u8, String)| {
+            Line::new(Kind::Release, SessionId(*id)).cause(*cause).field("wait", text).sdp(text)
+        };
+        let lines: Vec<Line> = messages.iter().map(line).collect();
+        let bytes: Vec<u8> = lines.iter().flat_map(|l| l.encode().unwrap()).collect();
+        let (mut decoder, mut read) = (line::Decoder::default(), Vec::new());
+        cut(&bytes, &cuts, |piece| {
+            decoder.feed(piece);
+            read.extend(std::iter::from_fn(|| decoder.next_line().unwrap()));
+        });
+        assert_eq!(read, lines);
+    });
+}
+
+#[test]
+fn requests_and_responses_survive_cuts() {
+    cases((vec((vec(any::<u8>(), 0..200), any::<bool>()), 1..4), cuts()), |(bodies, cuts)| {
+        let mut bytes = Vec::new();
+        for (body, chunked) in &bodies {
+            if *chunked {
+                bytes.extend(b"POST /whip/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for chunk in body.chunks(7) {
+                    bytes.extend(format!("{:x};x=y\r\n", chunk.len()).bytes().chain(chunk.iter().copied()));
+                    bytes.extend(b"\r\n");
+                }
+                bytes.extend(b"0\r\n\r\n");
+            } else {
+                bytes.extend(client::request("POST", "h", "/whip/a", &[], Some(("a/b", body))));
+            }
+        }
+        let (mut decoder, mut read) = (server::Decoder::default(), Vec::new());
+        cut(&bytes, &cuts, |piece| {
+            decoder.feed(piece);
+            read.extend(std::iter::from_fn(|| decoder.next_request(200).unwrap()).map(|r| r.body));
+        });
+        assert!(read.iter().eq(bodies.iter().map(|(body, _)| body)), "{read:?}");
+
+        let body = &bodies[0].0;
+        let response = server::Response { status: 200, headers: vec![], body: body.clone() };
+        let (mut reader, mut got) = (client::Reader::default(), Vec::new());
+        cut(&response.encode(true).concat(), &cuts, |piece| reader.feed(piece, &mut got).unwrap());
+        assert_eq!((reader.status(), reader.done(false), &got), (Some(200), true, body));
+    });
+}
+
+#[test]
+fn events_survive_cuts() {
+    cases((vec((any::<u32>(), "[a-z{}:\" ]{1,30}"), 1..6), cuts()), |(events, cuts)| {
+        let text = |(id, data): &(u32, String)| format!(": alive\r\nid: {id}\ndata: {data}\nother\n\n");
+        let bytes: Vec<u8> = events.iter().flat_map(|e| text(e).into_bytes()).collect();
+        let (mut decoder, mut read) = (sse::Decoder::default(), Vec::new());
+        cut(&bytes, &cuts, |piece| read.extend(decoder.feed(piece).unwrap()));
+        let read: Vec<(String, String)> = read.into_iter().map(|e| (e.id.unwrap(), e.data)).collect();
+        let sent: Vec<(String, String)> =
+            events.into_iter().map(|(id, data)| (id.to_string(), data)).collect();
+        assert_eq!(read, sent);
+    });
+}
+
+/// Whatever comes, a parser gives a message or an error; it neither panics nor keeps more than its bound.
+#[test]
+fn garbage_is_an_error_or_waits() {
+    cases((garbage(), cuts()), |(bytes, cuts)| {
+        let (mut packets, mut viewer, mut requests) =
+            (binary::Decoder::default(), Viewer::default(), server::Decoder::default());
+        let (mut reader, mut events) = (client::Reader::default(), sse::Decoder::default());
+        let (mut board, _) = Board::new(Names::default(), &serde_json::Value::Null);
+        board.request("h");
+        let mut links = Links::new(Micros(1), Micros(1), Micros(1));
+        cut(&bytes, &cuts, |piece| {
+            packets.feed(piece);
+            while let Ok(Some(packet)) = packets.next_packet() {
+                assert!(packet.cause().is_none() || packet.value(binary::code::CAUSE).is_some());
+            }
+            viewer.feed(piece);
+            while let Ok(Some(said)) = viewer.next(Micros(5), &Names::default()) {
+                assert!(!matches!(said, Said::SetUp(..)), "no class is known");
+            }
+            requests.feed(piece);
+            while let Ok(Some(request)) = requests.next_request(100) {
+                assert!(request.body.len() <= 100);
+                let _ = Route::parse(&request.target);
+            }
+            let mut body = Vec::new();
+            let _ = reader.feed(piece, &mut body);
+            let _ = events.feed(piece);
+            let _ = board.bytes(piece);
+            assert!(links.bytes(Micros(5), ConnId(1), piece).is_ok(), "an unknown connection says nothing");
+        });
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = load_report(&text);
+        if let Some(route) = Route::parse(&text) {
+            assert!(text.starts_with('/'), "{route:?}");
+        }
+    });
+}
+
+#[test]
+fn too_much_is_turned_away() {
+    let mut lines = line::Decoder::default();
+    lines.feed(&vec![b' '; LARGEST]);
+    assert_eq!(lines.next_line(), Err(Malformed::TooLarge));
+    let mut packets = binary::Decoder::default();
+    packets.feed(&[0xff, 0xff]);
+    assert_eq!(packets.next_packet().map(|_| ()), Err(Malformed::TooLarge));
+    let huge = vec![0; LARGEST];
+    assert!(binary::Builder::new(Kind::Answer, SessionId(1)).with(18, &huge).finish().is_err());
+    let text = "x".repeat(LARGEST);
+    assert!(Line::new(Kind::Answer, SessionId(1)).sdp(&text).encode().is_err());
+}
