--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,225 @@
+//! The platform's front over sockets, and the command line.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
+
+use amberspindle::api::SessionId;
+use amberspindle::message::binary::{Builder, code};
+use amberspindle::message::{Kind, cause};
+use serde_json::{Value, json};
+use support::*;
+
+const LONG: f64 = 60_000.0;
+
+struct Viewer {
+    stream: TcpStream,
+    lines: BufReader<TcpStream>,
+}
+
+impl Viewer {
+    fn new(program: &Program) -> Viewer {
+        let stream = program.connect("viewer");
+        Viewer { lines: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    fn say(&mut self, value: Value) {
+        self.stream.write_all(format!("{value}\n").as_bytes()).unwrap();
+    }
+
+    fn set_up(&mut self, id: &str, class: &str, more: &str) {
+        let extras = format!("home:0;copies:3;top:1;viewer:00000000b4d65521{more}");
+        self.say(json!({"type": "setup", "id": id, "sdp": "offer", "later": 1, "fields":
+            {"class": class, "left": 50000, "tenant": "home", "key": "7f3a", "extras": extras, "new": "x"}}));
+    }
+
+    /// The next line, or none at the end of the connection.
+    fn hear(&mut self) -> Option<Value> {
+        let mut line = String::new();
+        let n = self.lines.read_line(&mut line).unwrap();
+        (n > 0).then(|| serde_json::from_str(&line).unwrap())
+    }
+}
+
+fn id(text: &str) -> SessionId {
+    SessionId(u64::from_str_radix(text, 16).unwrap())
+}
+
+const A: &str = "9b1f03aa5c7e2d41";
+const B: &str = "9b1f03aa5c7e2d42";
+
+#[test]
+fn a_session_stands_plays_and_ends() {
+    let edge = Edge::start(Manner::Answers);
+    let program = Program::platform(&[&edge], LONG);
+    let mut viewer = Viewer::new(&program);
+    viewer.say(json!({"type": "ping", "id": B, "fields": {}, "cause": 0}));
+    assert_eq!(viewer.hear().unwrap(), json!({"type": "pong", "id": B, "fields": {}, "cause": 1}));
+    viewer.set_up(A, "paid", "");
+    let answer = json!({"type": "answer", "id": A, "fields": {}, "sdp": edge_answer(id(A), "offer")});
+    assert_eq!(viewer.hear().unwrap(), answer);
+    edge.say(release(id(A), cause::NORMAL));
+    assert_eq!(viewer.hear().unwrap(), json!({"type": "release", "id": A, "fields": {}, "cause": 16}));
+    // One that its viewer ends, on another connection, is cut at the server.
+    viewer.set_up(B, "clip", ";again:1");
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    Viewer::new(&program).say(json!({"type": "release", "id": B, "fields": {}, "cause": 16}));
+    edge.released(id(B), 1);
+}
+
+#[test]
+fn a_session_handed_over_is_attended_and_its_end_passed_on() {
+    let edge = Edge::start(Manner::Answers);
+    let program = Program::platform(&[&edge], LONG);
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "clip", ";at:s-0");
+    // The broker opens a connection for the server's news; a set-up shows that it is up.
+    viewer.set_up(B, "clip", "");
+    assert_eq!(viewer.hear().unwrap()["id"], B);
+    let tier = Builder::new(Kind::Note, id(A)).with(code::NOTE, b"tier").with(code::FIGURE, b"1");
+    edge.say(tier);
+    edge.say(release(id(A), cause::RESET));
+    assert_eq!(viewer.hear().unwrap(), json!({"type": "release", "id": A, "fields": {}, "cause": 41}));
+}
+
+#[test]
+fn refusals_and_failures_have_their_causes() {
+    let edge = Edge::start(Manner::Fails);
+    let program = Program::platform(&[&edge], LONG);
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "paid", "");
+    assert_eq!(viewer.hear().unwrap()["cause"], 47, "it may have run");
+    let nowhere = Program::platform(&[], 300.0);
+    let mut viewer = Viewer::new(&nowhere);
+    viewer.say(json!({"type": "setup", "id": A, "sdp": "offer", "fields":
+        {"class": "paid", "left": "300", "key": "k", "extras": "home:0;copies:3;top:1"}}));
+    assert_eq!(viewer.hear().unwrap()["cause"], 42, "nothing ran");
+}
+
+#[test]
+fn a_connection_that_makes_no_sense_ends_with_its_code_and_the_process_goes_on() {
+    let program = Program::platform(&[], LONG);
+    for (bytes, reason) in [
+        (&b"hello\n"[..], "bad-json"),
+        (b"{\"type\":\"dance\",\"id\":\"9b1f03aa5c7e2d41\"}\n", "unknown-type"),
+        (b"{\"type\":\"ping\",\"id\":\"9b\"}\n", "bad-id"),
+        (b"{\"type\":\"setup\",\"id\":\"9b1f03aa5c7e2d41\",\"fields\":{\"class\":\"none\"}}\n", "bad-field"),
+        (&[b'x'; 17_000], "too-large"),
+    ] {
+        let mut stream = program.connect("viewer");
+        let _ = stream.write_all(bytes);
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.is_empty());
+        program.logged(&format!("reason={reason}"));
+    }
+    let mut viewer = Viewer::new(&program);
+    viewer.say(json!({"type": "ping", "id": B, "fields": {}}));
+    assert_eq!(viewer.hear().unwrap()["type"], "pong");
+}
+
+#[test]
+fn what_was_taken_is_answered_after_sigterm() {
+    let edge = Edge::start(Manner::Silent);
+    let program = Program::platform(&[&edge], LONG);
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "paid", "");
+    edge.nth_set_up(1);
+    program.terminate();
+    program.logged("stopping");
+    // Connections keep coming for a while, and tests tell clients to go elsewhere.
+    let mut late = Viewer::new(&program);
+    late.say(json!({"type": "ping", "id": B, "fields": {}}));
+    assert_eq!(late.hear().unwrap()["cause"], 0);
+    edge.answer_now(id(A));
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    edge.say(release(id(A), cause::NORMAL));
+    assert_eq!(viewer.hear().unwrap()["type"], "release");
+    assert!(program.ended_well());
+}
+
+/// A board that breaks off is asked anew, from the last event that was heard.
+#[test]
+fn the_board_is_followed_and_asked_anew_after_a_break() {
+    let edge = Edge::start(Manner::Answers);
+    let board = TcpListener::bind("127.0.0.1:0").unwrap();
+    let files = tempdir::Dir::new();
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "board": board.local_addr().unwrap().to_string(),
+        "known": {"rev": 4, "notices": []}, "settings": settings(LONG)});
+    let path = files.write("board.json", &config.to_string());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
+    command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
+    let program = Program::start(command, files, &["viewer"]);
+    let head = |stream: &TcpStream| -> String {
+        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        lines.map_while(Result::ok).take_while(|l| !l.is_empty()).collect::<Vec<_>>().join("\n")
+    };
+    let (mut first, _) = board.accept().unwrap();
+    let asked = head(&first);
+    assert!(asked.contains("GET /board/poll") && asked.contains("Last-Event-ID: 4"), "{asked}");
+    let mut event = known(&[&edge])["notices"][0].clone();
+    event["rev"] = json!(5);
+    write!(
+        first,
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\nid: 5\ndata: {event}\n\n"
+    )
+    .unwrap();
+    drop(first);
+    let (second, _) = board.accept().unwrap();
+    assert!(head(&second).contains("Last-Event-ID: 5"));
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "clip", "");
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+}
+
+fn run(arguments: &[&str], config: Option<&str>) -> (bool, String) {
+    let files = tempdir::Dir::new();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
+    command.args(arguments).env_remove("LB_CONFIG").env_remove("LB_LISTEN").env_remove("LB_NAME");
+    if let Some(text) = config {
+        command.env("LB_CONFIG", files.write("config.json", text));
+    }
+    let output = command.output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8(text).unwrap())
+}
+
+#[test]
+fn the_command_line_names_what_it_can_not_do() {
+    assert!(run(&["version"], None).1.starts_with("amberspindle "));
+    assert!(run(&["help"], None).1.contains("usage:"));
+    let (fine, text) = run(&["dance"], None);
+    assert!(!fine && text.contains("dance"));
+    let (fine, text) = run(&["check", "--confg", "x"], None);
+    assert!(!fine && text.contains("--confg"));
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.toml");
+    assert!(run(&["check", "--config", example], None).0);
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_line_that_names_the_field() {
+    let whole = json!({"name": "n", "listen": "127.0.0.1:0", "settings": settings(LONG)});
+    let with = |path: &str, value: Value| {
+        let mut config = whole.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        config.to_string()
+    };
+    let cases = [
+        (None, "LB_CONFIG"),
+        (Some("{".to_owned()), "LB_CONFIG"),
+        (Some(with("/listen", json!("here"))), "listen"),
+        (Some(with("/settings", json!(null))), "settings"),
+        (Some(with("/settings/Instances", json!(0))), "settings.Instances"),
+        (Some(with("/settings/FamilyInfo/LadderKb", json!([]))), "settings.FamilyInfo.LadderKb"),
+    ];
+    for (config, field) in cases {
+        for command in ["check", "serve"] {
+            let (fine, text) = run(&[command], config.as_deref());
+            assert!(!fine);
+            assert_eq!(text.lines().count(), 1, "{text}");
+            assert!(text.contains(&format!("{field}:")), "{text}");
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -264,7 +264,7 @@
         Program::operator(&text, deadline, &[], &["http"])
     }
 
-    fn start(mut command: Command, files: tempdir::Dir, fronts: &[&str]) -> Program {
+    pub fn start(mut command: Command, files: tempdir::Dir, fronts: &[&str]) -> Program {
         let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
         let log = Arc::new((Mutex::new(Vec::new()), Condvar::new()));
         let (lines, writer) = (BufReader::new(child.stdout.take().unwrap()).lines(), log.clone());
