Keep sessions of a draining server that turns new connections down

The logs show a refused connection to a server whose older connection ended only a second later: during its drain a server turns new connections down and sends no notes while its sessions play on.

Wrong lines: the check of a silent server took any connection that did not come up as proof of its loss (node.rs, closed). Now a refusal beside an open connection proves that the process is there; a refusal with no connection left is proof unless the list says that the server drains; a connection that gets no answer is proof unless the server was heard of lately. A server that lost its address to a new one is lost as well. The memory of given-up attempts is gone: any answer that nobody waits for is cut.

Ruled out: deaths of the processes (the older connections were reset one to three seconds later, when the list said gone).

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -14,8 +14,6 @@
 /// A session description, passed on unchanged.
 pub type Description = Arc<[u8]>;
 
-/// How long an attempt that was given up is remembered, so that a late answer is still released.
-const LOOSE_KEPT: Micros = Micros(60_000_000);
 /// How much later an overdue answer is given by the core itself, should the module have kept silent.
 const LAST_CALL: Micros = Micros(5_000);
 
@@ -149,7 +147,6 @@
     Module(u64),
     Attempt(SessionId, u32),
     LastCall(SessionId),
-    Forget(SessionId, ServerId),
 }
 
 /// The core of one playback broker.
@@ -159,8 +156,6 @@
     classes: Vec<crate::api::Effect>,
     cap: u32,
     sessions: BTreeMap<SessionId, Session>,
-    /// Attempts that were given up and may still be answered.
-    loose: BTreeSet<(SessionId, ServerId)>,
     alarms: BTreeSet<(Micros, Alarm)>,
     pending: VecDeque<Event>,
 }
@@ -174,7 +169,6 @@
             brain: Brain::new(settings, seed),
             guard: Guard::default(),
             sessions: BTreeMap::new(),
-            loose: BTreeSet::new(),
             alarms: BTreeSet::new(),
             pending: VecDeque::new(),
         }
@@ -312,9 +306,6 @@
         let Stage::Trying { server, attempt, sent, .. } = s.stage.clone() else { return };
         s.stage = Stage::Waiting;
         s.history.ended(status);
-        // An answer may be on its way: whatever stands there after all must be released, not left playing.
-        self.loose.insert((id, server.clone()));
-        self.alarms.insert((now + LOOSE_KEPT, Alarm::Forget(id, server.clone())));
         out.push(Effect::GiveUp(id, server.clone()));
         let (took, load) = (now - sent, Load::default());
         self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
@@ -359,8 +350,7 @@
             out.push(Effect::Plays(id, answer));
             self.pending.push_back(Event::First { id, attempt, server: at, took: now - sent });
         } else if !self.stands(id, &at) {
-            // A late answer of an attempt that was given up: nobody waits for it.
-            self.loose.remove(&(id, at.clone()));
+            // A late answer of an attempt that was given up: nobody waits for it, and it must not play on.
             out.push(Effect::Cut(id, at));
         }
     }
@@ -374,7 +364,6 @@
         load: Load,
         out: &mut Vec<Effect>,
     ) {
-        self.loose.remove(&(id, at.clone()));
         let Some(s) = self.sessions.get_mut(&id) else { return };
         match s.stage.clone() {
             Stage::Trying { server, attempt, sent, .. } if server == at => {
@@ -422,9 +411,6 @@
                     self.fail(now, id, true, out);
                 }
             }
-            Alarm::Forget(id, server) => {
-                self.loose.remove(&(id, server));
-            }
         }
     }
 
@@ -488,8 +474,6 @@
         s.history.out = true;
         let until = if timeout == Micros(0) { s.due } else { (now + timeout).min(s.due) };
         s.stage = Stage::Trying { server: server.clone(), attempt, sent: now, until };
-        // The server has begun to forget an earlier attempt of this session there, if there was one.
-        self.loose.remove(&(id, server.clone()));
         self.alarms.insert((until, Alarm::Attempt(id, attempt)));
         let (class, title, rung, offer) = (s.class, s.title.clone(), s.rung, s.offer.clone());
         let wait = until - now;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -166,9 +166,14 @@
             ended(&shared, conn, &peer, reason, ended_with(&outbox));
         }
         Err(error) => {
-            let reason =
-                if error.kind() == io::ErrorKind::TimedOut { "connect-timeout" } else { code(&error) };
-            ended(&shared, conn, &peer, reason, Closed::NeverOpened);
+            let (reason, how) = match error.kind() {
+                io::ErrorKind::TimedOut => ("connect-timeout", Closed::NoAnswer),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+                    (code(&error), Closed::Refused)
+                }
+                _ => (code(&error), Closed::Unopened),
+            };
+            ended(&shared, conn, &peer, reason, how);
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
 use crate::platform::Names;
-use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, status};
+use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, Server, status};
 use crate::platform::viewer::{self, Said, Viewer};
 use crate::whip::{self, Wish};
 
@@ -18,6 +18,8 @@
 const OWED_KEPT: Micros = Micros(8_000_000);
 /// Keeps the ids of the second front apart from the module's random numbers.
 const WHIP_SEED: u64 = 0x5748_4950;
+/// A server that drains, has no connection left and turns new ones down is lost after so long.
+const DRAIN_SILENCE: Micros = Micros(6_500_000);
 /// Time between looks at connections.
 const LOOK_EVERY: Micros = Micros(250_000);
 
@@ -59,10 +61,8 @@
     homes: BTreeMap<SessionId, ConnId>,
     /// Lines that no connection was open for.
     owed: VecDeque<(Micros, Line)>,
-    /// Latest starts of the servers.
-    starts: BTreeMap<ServerId, Option<Micros>>,
-    /// Servers whose loss is being checked.
-    checks: BTreeSet<ServerId>,
+    /// What the list says of the servers, and when they started last.
+    servers: BTreeMap<ServerId, (ServerState, Option<Micros>)>,
     look_at: Micros,
     stopping: bool,
     log: Vec<String>,
@@ -83,8 +83,7 @@
             hook: config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok()),
             homes: BTreeMap::new(),
             owed: VecDeque::new(),
-            starts: BTreeMap::new(),
-            checks: BTreeSet::new(),
+            servers: BTreeMap::new(),
             look_at: Micros(0),
             stopping: false,
             log: Vec::new(),
@@ -196,7 +195,8 @@
 
     /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
     fn look(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let busy: Vec<ServerId> = self.starts.keys().filter(|s| self.broker.stands_any(s)).cloned().collect();
+        let busy: Vec<ServerId> =
+            self.servers.keys().filter(|s| self.broker.stands_any(s)).cloned().collect();
         let connected = self.links.connected();
         for server in self.links.silent(now, busy.iter().cloned()) {
             self.check(now, &server, out);
@@ -206,27 +206,30 @@
         }
     }
 
-    /// Finds out whether a server is lost: only a refused connection proves it.
+    /// Finds out by one more connection whether a server is lost.
     fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
-        if self.links.check(now, server, out) {
-            self.checks.insert(server.clone());
+        let state = self.servers.get(server).map(|(state, _)| *state);
+        // A server that drains may turn connections down while its sessions play on: no need to ask each time.
+        let asked = state == Some(ServerState::Draining) && self.links.unheard(now, server) < DRAIN_SILENCE;
+        if !asked && !self.links.check(now, server, out) {
+            self.tell(now, Input::Lost(server.clone()), out);
         }
     }
 
     /// News of the list of servers.
     pub fn news(&mut self, now: Micros, news: News, out: &mut Vec<Command>) {
-        let mut again = Vec::new();
+        let mut lost = Vec::new();
         for listed in &news.servers {
-            let (id, up) = (&listed.entry.id, listed.entry.up_since);
-            self.links.listed(id, listed.address);
-            if let Some(before) = self.starts.insert(id.clone(), up)
+            let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
+            lost.extend(self.links.listed(id, listed.address, state));
+            // A process that has started anew holds nothing of what stood there before.
+            if let Some((_, before)) = self.servers.insert(id.clone(), (state, up))
                 && up > before
             {
-                again.push(id.clone());
+                lost.push(id.clone());
             }
         }
-        // A process that has started anew holds nothing of what stood there before.
-        for server in again {
+        for server in lost {
             self.tell(now, Input::Lost(server), out);
         }
         let servers = news.servers.into_iter().map(|l| l.entry).collect();
@@ -302,21 +305,25 @@
         if self.whip.as_ref().is_some_and(|whip| whip.has(conn)) {
             let unfinished = match how {
                 Closed::Ended { unfinished, .. } => unfinished.as_slice(),
-                Closed::NeverOpened => &[],
+                Closed::Refused | Closed::NoAnswer | Closed::Unopened => &[],
             };
             self.whip(now, out, |whip, _, wishes| whip.closed(now, conn, unfinished, wishes));
             return;
         }
-        let Some(Broken { server, over, only }) = self.links.closed(conn, how) else { return };
+        let Some(Broken { server, over, server_is }) = self.links.closed(now, conn, how) else { return };
         for (id, status) in over {
             let load = Load::default();
             self.tell(now, Input::Over { id, server: server.clone(), status, load }, out);
         }
-        let checked = self.checks.remove(&server);
-        match how {
-            Closed::NeverOpened if checked => self.tell(now, Input::Lost(server), out),
-            _ if only && self.broker.stands_any(&server) => self.check(now, &server, out),
-            _ => {}
+        if !self.broker.stands_any(&server) {
+            return;
+        }
+        let drains = self.servers.get(&server).is_some_and(|(state, _)| *state == ServerState::Draining);
+        match server_is {
+            Server::Up => {}
+            Server::Unsure => self.check(now, &server, out),
+            Server::TurnsDown if drains && self.links.unheard(now, &server) < DRAIN_SILENCE => {}
+            Server::TurnsDown | Server::Lost => self.tell(now, Input::Lost(server), out),
         }
     }
 
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::load_report;
-use crate::api::{Load, Micros, Note, Rung, ServerId, SessionId, Status};
+use crate::api::{Load, Micros, Note, Rung, ServerId, ServerState, SessionId, Status};
 use crate::broker::{Description, SetUp};
 use crate::message::binary::{Builder, Decoder, Packet, code};
 use crate::message::{Kind, Malformed, cause};
@@ -44,8 +44,12 @@
 /// How a connection ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Closed {
-    /// It never came up.
-    NeverOpened,
+    /// The machine turned it down.
+    Refused,
+    /// It did not come up in time.
+    NoAnswer,
+    /// This machine could not open it.
+    Unopened,
     /// It ended.
     Ended {
         /// Of what was marked by these, not a byte was written.
@@ -62,8 +66,21 @@
     pub server: ServerId,
     /// How each set-up that was open on it ended.
     pub over: Vec<(SessionId, Status)>,
-    /// No other connection to that server is up: it may be lost.
-    pub only: bool,
+    /// What it tells of the server and all that stands there.
+    pub server_is: Server,
+}
+
+/// What the end of a connection tells of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Server {
+    /// Nothing: another connection is up and well.
+    Up,
+    /// It may be lost: no other connection is up.
+    Unsure,
+    /// It turns new connections down and no old one is left: lost, unless it drains.
+    TurnsDown,
+    /// Nothing of it answers any more.
+    Lost,
 }
 
 #[derive(Debug, Default)]
@@ -113,9 +130,19 @@
         Links { addresses, links, alive, next: 0, idle, quiet }
     }
 
-    /// Notes where a server listens.
-    pub fn listed(&mut self, server: &ServerId, address: SocketAddr) {
+    /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
+    /// may have the address of one that has gone, and what is meant for the old one must not reach the new.
+    pub fn listed(&mut self, server: &ServerId, address: SocketAddr, state: ServerState) -> Option<ServerId> {
+        let before = self.addresses.iter().find(|(s, a)| *s != server && **a == address);
+        let before = before.map(|(s, _)| s.clone());
+        if before.is_some() && state == ServerState::Gone {
+            return None;
+        }
+        if let Some(before) = &before {
+            self.addresses.remove(before);
+        }
         self.addresses.insert(server.clone(), address);
+        before
     }
 
     /// Whether it is one of these connections.
@@ -312,25 +339,44 @@
     }
 
     /// A connection has ended.
-    pub fn closed(&mut self, conn: ConnId, how: &Closed) -> Option<Broken> {
+    pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed) -> Option<Broken> {
         let link = self.links.remove(&conn)?;
         let ended = |id: SessionId| match how {
-            Closed::NeverOpened => (id, Status::ConnectFailed),
+            Closed::Refused | Closed::NoAnswer | Closed::Unopened => (id, Status::ConnectFailed),
             Closed::Ended { unsent, .. } if unsent.contains(&id) => (id, Status::ConnectFailed),
             // Some of it may have reached the server: that proves nothing.
             Closed::Ended { .. } => (id, Status::Reset),
         };
         let over = link.set_ups.keys().copied().map(ended).collect();
-        let only = !self.links.values().any(|l| l.server == link.server && l.open);
-        Some(Broken { server: link.server, over, only })
+        let open = self.links.values().any(|l| l.server == link.server && l.open);
+        let server_is = match how {
+            // A process that has died takes its connections with it; one that drains only takes no new ones.
+            Closed::Refused if open => {
+                self.alive.insert(link.server.clone(), now);
+                Server::Up
+            }
+            Closed::Refused => Server::TurnsDown,
+            // A machine that is cut off leaves its connections open and silent.
+            Closed::NoAnswer if open && self.unheard(now, &link.server) <= self.quiet => Server::Up,
+            Closed::NoAnswer => Server::Lost,
+            Closed::Unopened => Server::Up,
+            Closed::Ended { .. } if open => Server::Up,
+            Closed::Ended { .. } => Server::Unsure,
+        };
+        Some(Broken { server: link.server, over, server_is })
     }
 
     /// Servers, of those given, that have been silent for too long.
     pub fn silent(&self, now: Micros, of: impl Iterator<Item = ServerId>) -> Vec<ServerId> {
-        let quiet = |s: &ServerId| self.alive.get(s).is_none_or(|at| now - *at > self.quiet);
+        let quiet = |s: &ServerId| self.unheard(now, s) > self.quiet;
         of.filter(quiet).collect()
     }
 
+    /// How long a server was not heard of.
+    pub fn unheard(&self, now: Micros, server: &ServerId) -> Micros {
+        self.alive.get(server).map_or(Micros::MAX, |at| now - *at)
+    }
+
     /// Servers that connections are open to.
     pub fn connected(&self) -> BTreeSet<ServerId> {
         self.links.values().filter(|l| l.open).map(|l| l.server.clone()).collect()
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,185 @@
+//! One broker without its sockets: what the ends of connections and news of the list lead to.
+
+mod support;
+
+use amberspindle::api::{ListKind, Micros, ServerEntry, ServerId, ServerState, SessionId};
+use amberspindle::board::{Listed, News};
+use amberspindle::config::Config;
+use amberspindle::message::cause;
+use amberspindle::node::{Front, Node};
+use amberspindle::platform::links::{Closed, Command, ConnId};
+use serde_json::json;
+use support::{answer, release, settings};
+
+struct World {
+    node: Node,
+    now: Micros,
+    out: Vec<Command>,
+}
+
+const ID: SessionId = SessionId(0x9b1f_03aa_5c7e_2d41);
+const UNSENT: Closed = Closed::Ended { unsent: Vec::new(), unfinished: Vec::new() };
+
+impl World {
+    /// Servers send notes each second.
+    fn new() -> World {
+        let mut settings = settings(4000.0);
+        settings["FamilyInfo"]["ReportsEvery"] = json!(1000.0);
+        settings["FamilyInfo"]["See"] = json!(500.0);
+        let config = Config::read(&json!({"settings": settings, "seed": "1"})).unwrap();
+        World { node: Node::new(&config), now: Micros(1_000_000_000), out: Vec::new() }
+    }
+
+    fn list(&mut self, id: &str, state: ServerState, port: u16) {
+        let entry = ServerEntry::new(ServerId::new(id), state, 0);
+        let servers = vec![Listed { entry, address: ([127, 0, 0, 1], port).into() }];
+        self.node.news(self.now, News { kind: ListKind::Changes, servers }, &mut self.out);
+    }
+
+    fn viewer(&mut self) -> ConnId {
+        let conn = self.node.number();
+        self.node.accepted(self.now, conn, Front::Platform, &mut self.out);
+        conn
+    }
+
+    fn bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        self.node.bytes(self.now, conn, bytes, &mut self.out);
+    }
+
+    fn closed(&mut self, conn: ConnId, how: &Closed) {
+        self.node.closed(self.now, conn, how, &mut self.out);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + Micros(ms * 1000);
+        while self.node.next_alarm() <= end {
+            self.now = self.now.max(self.node.next_alarm());
+            self.node.tick(self.now, &mut self.out);
+        }
+        self.now = end;
+    }
+
+    /// Connections that were asked for since the last call.
+    fn dials(&mut self) -> Vec<ConnId> {
+        let dial = |c: &Command| if let Command::Dial(conn, _) = c { Some(*conn) } else { None };
+        let dials = self.out.iter().filter_map(dial).collect();
+        self.out.retain(|c| dial(c).is_none());
+        dials
+    }
+
+    /// What was written on a connection.
+    fn written(&self, to: ConnId) -> String {
+        let write = |c: &Command| match c {
+            Command::Write(conn, bytes, _) if *conn == to => {
+                Some(String::from_utf8_lossy(bytes).into_owned())
+            }
+            _ => None,
+        };
+        self.out.iter().filter_map(write).collect()
+    }
+
+    fn ask(&mut self, conn: ConnId) {
+        let line = json!({"type": "setup", "id": format!("{:016x}", ID.0), "sdp": "offer", "fields":
+            {"class": "clip", "left": 4000, "key": "k", "extras": "home:0;copies:3;top:1"}});
+        self.bytes(conn, format!("{line}\n").as_bytes());
+    }
+
+    /// A session that stands at `s-0`: the viewer's connection and the server's.
+    fn playing(&mut self) -> (ConnId, ConnId) {
+        self.list("s-0", ServerState::Ready, 1);
+        let viewer = self.viewer();
+        self.ask(viewer);
+        let edge = self.dials()[0];
+        self.node.opened(self.now, edge, &mut self.out);
+        self.bytes(edge, &answer(ID, "offer").finish().unwrap());
+        assert!(self.written(viewer).contains("answer"));
+        (viewer, edge)
+    }
+
+    fn ended(&self, viewer: ConnId) -> bool {
+        self.written(viewer).contains("\"cause\":41")
+    }
+}
+
+/// Seen on a day with a release of the servers: ones that drain turn connections down and fall silent while
+/// their sessions play, and 29 sessions were ended too early.
+#[test]
+fn a_draining_server_that_turns_connections_down_keeps_its_sessions() {
+    let mut world = World::new();
+    let (viewer, edge) = world.playing();
+    world.list("s-0", ServerState::Draining, 1);
+    world.pass(2500);
+    assert!(world.dials().is_empty(), "its silence is no news");
+    world.pass(5000);
+    let check = world.dials()[0];
+    world.closed(check, &Closed::Refused);
+    assert!(!world.ended(viewer), "its connection is still open");
+    world.closed(edge, &UNSENT);
+    assert!(!world.ended(viewer), "it may still play");
+    world.list("s-0", ServerState::Gone, 1);
+    world.pass(500);
+    for check in world.dials() {
+        world.closed(check, &Closed::Refused);
+    }
+    assert!(world.ended(viewer));
+}
+
+#[test]
+fn a_server_that_is_silent_and_out_of_reach_is_lost() {
+    let mut world = World::new();
+    let (viewer, _) = world.playing();
+    world.pass(2500);
+    let check = world.dials()[0];
+    world.closed(check, &Closed::NoAnswer);
+    assert!(world.ended(viewer));
+}
+
+#[test]
+fn a_process_that_dies_takes_its_sessions_and_one_that_only_breaks_a_connection_does_not() {
+    let mut world = World::new();
+    let (viewer, edge) = world.playing();
+    world.closed(edge, &UNSENT);
+    let check = world.dials()[0];
+    world.node.opened(world.now, check, &mut world.out);
+    assert!(!world.ended(viewer));
+    world.closed(check, &UNSENT);
+    let check = world.dials()[0];
+    world.closed(check, &Closed::Refused);
+    assert!(world.ended(viewer));
+}
+
+#[test]
+fn a_new_server_at_an_old_address_ends_what_stood_at_the_old_one() {
+    let mut world = World::new();
+    let (viewer, _) = world.playing();
+    world.list("s-1", ServerState::Ready, 1);
+    assert!(world.ended(viewer));
+    // Late news of the old one does not take the address back.
+    world.list("s-0", ServerState::Gone, 1);
+    world.ask(viewer);
+    assert_eq!(world.dials().len(), 1);
+}
+
+#[test]
+fn the_end_of_a_session_goes_out_on_whatever_connection_there_is() {
+    let mut world = World::new();
+    let (viewer, edge) = world.playing();
+    world.closed(viewer, &UNSENT);
+    world.bytes(edge, &release(ID, cause::NORMAL).finish().unwrap());
+    let next = world.viewer();
+    assert!(world.written(next).contains("\"cause\":16"));
+}
+
+#[test]
+fn a_set_up_given_up_before_its_connection_is_up_never_leaves() {
+    let mut world = World::new();
+    world.list("s-0", ServerState::Ready, 1);
+    let viewer = world.viewer();
+    world.ask(viewer);
+    let edge = world.dials()[0];
+    let line = json!({"type": "release", "id": format!("{:016x}", ID.0), "fields": {}, "cause": 16});
+    world.bytes(viewer, format!("{line}\n").as_bytes());
+    world.node.opened(world.now, edge, &mut world.out);
+    assert!(!world.out.iter().any(|c| matches!(c, Command::Write(conn, ..) if *conn == edge)));
+    assert_eq!(world.node.held(), (0, 0));
+}
