Tell refused clients when to come back

Seen: every refusal of the module went out without a wait (brain.rs, answer: retry_after was zero), so clients without a pause of their own come back at once. The settings name the longest wait that clients honour.

Changed: a refusal advises that wait.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -710,7 +710,7 @@
             Effect::Keyed { scope, .. } => scope == KeyScope::All,
         };
         if s.phase == Phase::Held && (harmless || s.ran.is_none()) {
-            out.push(Action::Refuse { id, retry_after: Micros(0) });
+            out.push(Action::Refuse { id, retry_after: self.set.max_retry_after });
         } else {
             out.push(Action::Fail(id));
         }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -20,7 +20,7 @@
     fn new(servers: u32) -> Core {
         let mut s = Settings::new(vec![100.0, 200.0], vec![0.4, 1.0]);
         (s.cells, s.racks, s.link_unit_kb, s.rack_kb, s.max_attempts) = (3, 1, 1e5, 3e5, 4);
-        s.tick = ms(10);
+        (s.tick, s.max_retry_after) = (ms(10), ms(500));
         let class = |effect| Class::new(ms(1000), ms(2000), effect);
         s.classes = vec![class(Repeat::Unsafe), class(Repeat::Safe)];
         let mut core = Core { broker: Broker::new(s, 7), now: ms(1_000_000) };
@@ -146,7 +146,7 @@
     let mut core = Core::new(0);
     let mut out = core.ask(1, PAID);
     out.extend(core.pass(ms(3000)));
-    assert!(matches!(answers(&out)[..], [Effect::Refused(SessionId(1), _)]));
+    assert_eq!(answers(&out), [&Effect::Refused(SessionId(1), ms(500))], "and told when to come back");
 }
 
 #[test]
