--- a/src/broker/guard.rs
+++ b/src/broker/guard.rs
@@ -26,20 +26,25 @@
 /// Watches over sends and refusals.
 #[derive(Debug, Default)]
 pub struct Guard {
-    states: BTreeMap<ServerId, ServerState>,
+    servers: BTreeMap<ServerId, ServerEntry>,
 }
 
 impl Guard {
     /// Takes news of the list in.
     pub fn listed(&mut self, kind: ListKind, servers: &[ServerEntry]) {
         if matches!(kind, ListKind::Complete | ListKind::Stale) {
-            self.states.values_mut().for_each(|state| *state = ServerState::Gone);
+            self.servers.values_mut().for_each(|entry| entry.state = ServerState::Gone);
         }
         for entry in servers {
-            self.states.insert(entry.id.clone(), entry.state);
+            self.servers.insert(entry.id.clone(), entry.clone());
         }
     }
 
+    /// The list as it is held.
+    pub fn list(&self) -> Vec<ServerEntry> {
+        self.servers.values().cloned().collect()
+    }
+
     /// Whether a set-up may go out: to a listed server that runs, within the cap and the time, alone, and of a
     /// class that must not run twice only while no earlier attempt can have run.
     pub fn may_send(
@@ -51,7 +56,7 @@
         class: Repeat,
         h: History,
     ) -> bool {
-        self.states.get(to) == Some(&ServerState::Ready)
+        self.servers.get(to).is_some_and(|entry| entry.state == ServerState::Ready)
             && h.attempts < cap
             && now < due
             && !h.out
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -4,6 +4,7 @@
 mod guard;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
 pub use guard::{Guard, History};
@@ -11,6 +12,21 @@
 use crate::api::*;
 use crate::brain::Brain;
 
+/// What decides: the module, or in tests one that errs.
+pub trait Decide {
+    /// Takes one event in and appends what is to be done, in order.
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Brain {
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.handle(now, event, out);
+    }
+}
+
+/// Makes a module from a seed: one at the start, and one more after each that panicked.
+pub type Make = Box<dyn FnMut(u64) -> Box<dyn Decide>>;
+
 /// A session description, passed on unchanged.
 pub type Description = Arc<[u8]>;
 
@@ -132,9 +148,7 @@
 
 #[derive(Debug)]
 struct Session {
-    class: usize,
-    title: Text,
-    due: Micros,
+    request: Request,
     offer: Description,
     stage: Stage,
     rung: Option<Rung>,
@@ -151,7 +165,9 @@
 
 /// The core of one playback broker.
 pub struct Broker {
-    brain: Brain,
+    module: Box<dyn Decide>,
+    make: Make,
+    seed: u64,
     guard: Guard,
     classes: Vec<crate::api::Effect>,
     cap: u32,
@@ -163,11 +179,19 @@
 impl Broker {
     /// A core that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64) -> Broker {
+        let (classes, cap) = (settings.classes.iter().map(|c| c.effect).collect(), settings.max_attempts);
+        Broker::with(classes, cap, seed, Box::new(move |seed| Box::new(Brain::new(settings.clone(), seed))))
+    }
+
+    /// A core round any module: what a repeat does in each class, and the cap on attempts.
+    pub fn with(classes: Vec<crate::api::Effect>, cap: u32, seed: u64, mut make: Make) -> Broker {
         Broker {
-            classes: settings.classes.iter().map(|c| c.effect).collect(),
-            cap: settings.max_attempts,
-            brain: Brain::new(settings, seed),
+            module: make(seed),
+            make,
+            seed,
             guard: Guard::default(),
+            classes,
+            cap,
             sessions: BTreeMap::new(),
             alarms: BTreeSet::new(),
             pending: VecDeque::new(),
@@ -256,13 +280,49 @@
     fn run(&mut self, now: Micros, out: &mut Vec<Effect>) {
         while let Some(event) = self.pending.pop_front() {
             let mut actions = Vec::new();
-            self.brain.handle(now, event, &mut actions);
+            let fed = catch_unwind(AssertUnwindSafe(|| self.module.decide(now, event, &mut actions)));
+            if fed.is_err() {
+                self.renew(now, out);
+                continue;
+            }
             for action in actions {
                 self.act(now, action, out);
             }
         }
     }
 
+    /// A module that panicked is replaced by a new one, as after a restart, but what plays goes on playing: it
+    /// is told the list and the sessions that stand. Set-ups that it held are answered at once.
+    fn renew(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        out.push(Effect::Log("module panicked: starting a new one".to_owned()));
+        self.seed = self.seed.wrapping_add(1);
+        self.module = (self.make)(self.seed);
+        self.pending.clear();
+        self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Module(_)));
+        let servers = self.guard.list();
+        self.pending.push_back(Event::Members { kind: ListKind::Complete, servers });
+        let (standing, held): (Vec<SessionId>, Vec<SessionId>) =
+            self.sessions.keys().copied().partition(|id| self.server_of(*id).is_some());
+        for id in standing {
+            if let (Some(server), Some(s)) = (self.server_of(id), self.sessions.get(&id)) {
+                let note = s.rung.map(|r| Event::Note { id, server: server.clone(), note: Note::Rung(r) });
+                self.pending.push_back(Event::Open { request: s.request.clone(), server });
+                self.pending.extend(note);
+            }
+        }
+        for id in held {
+            self.refuse(now, id, Micros(0), out);
+        }
+    }
+
+    /// Where a session stands, if it does.
+    fn server_of(&self, id: SessionId) -> Option<ServerId> {
+        match &self.sessions.get(&id)?.stage {
+            Stage::Standing { server, .. } => Some(server.clone()),
+            _ => None,
+        }
+    }
+
     fn request(&mut self, now: Micros, request: Request, offer: Description, out: &mut Vec<Effect>) {
         if self.sessions.contains_key(&request.id) {
             return;
@@ -271,9 +331,10 @@
             out.push(Effect::Refused(request.id, Micros(0)));
             return;
         }
-        let (id, class, title, due) = (request.id, request.class, request.title.clone(), request.due);
+        let (id, due) = (request.id, request.due);
         let (stage, rung, history, late) = (Stage::Waiting, None, History::default(), due <= now);
-        self.sessions.insert(id, Session { class, title, due, offer, stage, rung, history, late });
+        let session = Session { request: request.clone(), offer, stage, rung, history, late };
+        self.sessions.insert(id, session);
         self.alarms.insert((due + LAST_CALL, Alarm::LastCall(id)));
         self.pending.push_back(Event::Request(request));
     }
@@ -284,12 +345,12 @@
         if self.sessions.contains_key(&id) || request.class >= self.classes.len() {
             return;
         }
-        let (class, title, due) = (request.class, request.title.clone(), request.due);
         let stage = Stage::Standing { server: server.clone(), attempt: 0 };
         let history = History { attempts: 1, may_have_run: true, out: false };
         let offer = Description::from(&[][..]);
         let rung = None;
-        self.sessions.insert(id, Session { class, title, due, offer, stage, rung, history, late: false });
+        let session = Session { request: request.clone(), offer, stage, rung, history, late: false };
+        self.sessions.insert(id, session);
         self.pending.push_back(Event::Open { request, server });
     }
 
@@ -398,7 +459,7 @@
                 if matches!(stage, Some(Stage::Trying { attempt: a, until, .. }) if *a == attempt && *until <= now)
                 {
                     if let Some(s) = self.sessions.get_mut(&id) {
-                        s.late = now >= s.due;
+                        s.late = now >= s.request.due;
                     }
                     self.drop_attempt(now, id, Status::TimedOut, false, out);
                 }
@@ -419,7 +480,8 @@
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout, out),
             Action::Refuse { id, retry_after } => self.refuse(now, id, retry_after, out),
             Action::Fail(id) => {
-                let late = self.sessions.get(&id).is_some_and(|s| s.late || now + Micros(100_000) >= s.due);
+                let late =
+                    self.sessions.get(&id).is_some_and(|s| s.late || now + Micros(100_000) >= s.request.due);
                 self.fail(now, id, late, out);
             }
             Action::Cancel { id, attempt } => {
@@ -462,7 +524,14 @@
     fn send(&mut self, now: Micros, id: SessionId, server: ServerId, timeout: Micros, out: &mut Vec<Effect>) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         let attempt = s.history.attempts;
-        let may = self.guard.may_send(&server, self.cap, s.due, now, self.classes[s.class], s.history);
+        let may = self.guard.may_send(
+            &server,
+            self.cap,
+            s.request.due,
+            now,
+            self.classes[s.request.class],
+            s.history,
+        );
         if !may || !matches!(s.stage, Stage::Waiting) {
             s.history.attempts += 1;
             let (status, load) = (Status::Moot, Load::default());
@@ -472,10 +541,11 @@
         }
         s.history.attempts += 1;
         s.history.out = true;
-        let until = if timeout == Micros(0) { s.due } else { (now + timeout).min(s.due) };
+        let until = if timeout == Micros(0) { s.request.due } else { (now + timeout).min(s.request.due) };
         s.stage = Stage::Trying { server: server.clone(), attempt, sent: now, until };
         self.alarms.insert((until, Alarm::Attempt(id, attempt)));
-        let (class, title, rung, offer) = (s.class, s.title.clone(), s.rung, s.offer.clone());
+        let (class, title) = (s.request.class, s.request.title.clone());
+        let (rung, offer) = (s.rung, s.offer.clone());
         let wait = until - now;
         out.push(Effect::SetUp(SetUp { id, attempt, server, class, title, rung, wait, offer }));
     }
@@ -485,7 +555,7 @@
         if matches!(s.stage, Stage::Standing { .. }) {
             return;
         }
-        if !Guard::may_refuse(self.classes[s.class], s.history) {
+        if !Guard::may_refuse(self.classes[s.request.class], s.history) {
             return self.fail(now, id, false, out);
         }
         out.push(Effect::Refused(id, wait));
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -1,7 +1,9 @@
 //! The core without a wire: requests, attempts, outcomes and the rules round the module.
 
 use amberspindle::api::{Effect as Repeat, *};
-use amberspindle::broker::{Broker, Effect, Input, SetUp};
+use std::collections::{BTreeMap, BTreeSet};
+
+use amberspindle::broker::{Broker, Decide, Effect, Input, SetUp};
 
 const PAID: usize = 0;
 const CLIP: usize = 1;
@@ -186,3 +188,113 @@
     assert!(sent(&out).is_empty());
     assert_eq!(answers(&out).len(), 1);
 }
+
+/// A module that does as chance will: sends anywhere, refuses and fails what it likes, forgets, and panics.
+struct Erratic(fastrand::Rng);
+
+impl Decide for Erratic {
+    fn decide(&mut self, _: Micros, event: Event, out: &mut Vec<Action>) {
+        let ids: Vec<SessionId> = match &event {
+            Event::Request(request) => vec![request.id],
+            Event::Outcome { id, .. } | Event::First { id, .. } => vec![*id],
+            _ => vec![SessionId(self.0.u64(..40))],
+        };
+        for id in ids {
+            for _ in 0..self.0.usize(..4) {
+                let timeout = ms(self.0.u64(..3000));
+                out.push(match self.0.u32(..9) {
+                    0..=3 => Action::Send { id, server: server(self.0.u32(..4)), timeout },
+                    4 => Action::Refuse { id, retry_after: ms(1) },
+                    5 => Action::Fail(id),
+                    6 => Action::Cancel { id, attempt: self.0.u32(..3) },
+                    7 => Action::Move(id),
+                    _ => Action::Rate { id, rung: Rung(0) },
+                });
+            }
+        }
+        assert!(self.0.u32(..50) > 0, "a slip of the module");
+    }
+}
+
+/// Whatever the module does, the core keeps the rules: one answer, one attempt out, a paid session neither sent
+/// again nor refused once it may have run, no send to a server that drains.
+#[test]
+fn the_rules_hold_round_a_module_that_errs() {
+    let mut rng = fastrand::Rng::with_seed(0xbad);
+    let module = |seed| -> Box<dyn Decide> { Box::new(Erratic(fastrand::Rng::with_seed(seed))) };
+    let broker = Broker::with(vec![Repeat::Unsafe, Repeat::Safe], 4, 1, Box::new(module));
+    let mut core = Core { broker, now: ms(1_000_000) };
+    let list = (0..4).map(|n| {
+        let state = if n == 3 { ServerState::Draining } else { ServerState::Ready };
+        ServerEntry::new(server(n), state, n)
+    });
+    core.tell(Input::Servers { kind: ListKind::Complete, servers: list.collect() });
+    let (mut asked, mut answered, mut left) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+    let (mut out, mut ran, mut sent_to) = (BTreeMap::new(), BTreeSet::new(), BTreeMap::<u64, u32>::new());
+    let mut panics = 0;
+    for n in 0..4000_u64 {
+        let id = n / 10;
+        let mut effects = match rng.u32(..10) {
+            0 => {
+                left.insert(id);
+                out.remove(&id);
+                core.tell(Input::Left(SessionId(id)))
+            }
+            1..=4 => match out.get(&id).cloned() {
+                None => Vec::new(),
+                Some(at) => {
+                    out.remove(&id);
+                    let ends = [Status::Saturated, Status::Errored, Status::Reset, Status::ConnectFailed];
+                    match rng.usize(..6) {
+                        i @ 0..4 => {
+                            // Noted first: what the core does next must already heed it.
+                            if !ends[i].never_ran() {
+                                ran.insert(id);
+                            }
+                            core.over(id, &at, ends[i])
+                        }
+                        _ => {
+                            ran.insert(id);
+                            core.stands(id, &at)
+                        }
+                    }
+                }
+            },
+            5 => core.pass(ms(rng.u64(..500))),
+            _ if n % 10 < 5 && asked.insert(id) => core.ask(id, if id % 2 == 0 { PAID } else { CLIP }),
+            _ => Vec::new(),
+        };
+        if n == 3999 {
+            effects.extend(core.pass(ms(10_000)));
+        }
+        for effect in effects {
+            match effect {
+                Effect::SetUp(s) => {
+                    let paid = s.id.0 % 2 == 0;
+                    assert!(!(paid && ran.contains(&s.id.0)), "a paid set-up is sent again");
+                    assert!(!answered.contains(&s.id.0), "sent after its answer");
+                    assert!(out.insert(s.id.0, s.server.clone()).is_none(), "two attempts out");
+                    assert_ne!(s.server, server(3), "sent to a server that drains");
+                    let sends = sent_to.entry(s.id.0).or_default();
+                    *sends += 1;
+                    assert!(*sends <= 4);
+                }
+                Effect::GiveUp(id, at) => {
+                    assert!(out.remove(&id.0).is_none_or(|there| there == at));
+                    ran.insert(id.0);
+                }
+                Effect::Refused(id, _) => {
+                    let clean = !ran.contains(&id.0) && !out.contains_key(&id.0);
+                    assert!(id.0 % 2 == 1 || clean, "a paid session that may have run is refused");
+                    assert!(answered.insert(id.0), "two answers");
+                }
+                Effect::Plays(id, _) | Effect::Failed(id, _) => assert!(answered.insert(id.0), "two answers"),
+                Effect::Log(_) => panics += 1,
+                _ => {}
+            }
+        }
+    }
+    let owed: Vec<&u64> = asked.iter().filter(|id| !answered.contains(id) && !left.contains(id)).collect();
+    assert!(owed.is_empty(), "no answer: {owed:?}");
+    assert!(panics > 10 && answered.len() > 200, "{panics} {}", answered.len());
+}
