Release what stands when the broker ends, and keep no HTTP connection while it stops

Requests on kept HTTP connections could still arrive at the moment of the end.

Changed: what stands is released on both sides before the end; once told to stop, each HTTP response closes its connection.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -80,6 +80,8 @@
     },
     /// A server was lost with all that stood there.
     Lost(ServerId),
+    /// The broker ends: what stands is released on both sides.
+    End,
     /// Time has passed.
     Tick,
 }
@@ -264,6 +266,14 @@
                     self.over(now, id, server.clone(), Status::Reset, Load::default(), out);
                 }
             }
+            Input::End => {
+                let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
+                let standing = ids.into_iter().filter_map(|id| Some((id, self.server_of(id)?)));
+                for (id, server) in standing.collect::<Vec<_>>() {
+                    out.push(Effect::Cut(id, server.clone()));
+                    self.over(now, id, server, Status::Reset, Load::default(), out);
+                }
+            }
             Input::Tick => {}
         }
         self.run(now, out);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -365,6 +365,7 @@
         if let Some(registry) = registry {
             registry.await;
         }
+        step(&shared, |node, now, out| node.end(now, out));
         // Last words are still on their way out.
         Timer::after(Duration::from_millis(50)).await;
         log("stopped");
--- a/src/node.rs
+++ b/src/node.rs
@@ -95,9 +95,17 @@
         (self.broker.unanswered(), self.broker.standing())
     }
 
-    /// From now on tests fail, so that clients go elsewhere.
+    /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
     pub fn stop(&mut self) {
         self.stopping = true;
+        if let Some(whip) = &mut self.whip {
+            whip.stop();
+        }
+    }
+
+    /// The program ends: nothing may be left standing that nobody holds.
+    pub fn end(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.tell(now, Input::End, out);
     }
 
     /// Lines for the log since the last call.
@@ -396,10 +404,7 @@
             }
             Effect::SetUp(set_up) => self.send(now, &set_up, out),
             Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
-            Effect::Cut(id, server) => {
-                self.forget(id);
-                self.links.release(now, id, &server, out);
-            }
+            Effect::Cut(id, server) => self.links.release(now, id, &server, out),
             Effect::Rate(id, server, rung) => self.links.rate(now, id, &server, rung, out),
             Effect::Plays(id, description) => {
                 let home = self.answered(id);
@@ -409,6 +414,7 @@
                     None => {
                         // What can't be passed on unchanged is not passed on.
                         self.say(now, home, &viewer::failed(id), out);
+                        self.forget(id);
                         self.tell(now, Input::Left(id), out);
                     }
                 }
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -106,6 +106,7 @@
     conns: BTreeMap<ConnId, Conn>,
     sessions: BTreeMap<SessionId, Session>,
     bookings: BTreeMap<(String, String), Booking>,
+    stopping: bool,
 }
 
 fn print(offer: &[u8]) -> u64 {
@@ -119,7 +120,12 @@
     pub fn new(setup: Setup, classes: Vec<Class>, seed: u64) -> Front {
         let rng = fastrand::Rng::with_seed(seed);
         let (conns, sessions, bookings) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Front { setup, classes, rng, conns, sessions, bookings }
+        Front { setup, classes, rng, conns, sessions, bookings, stopping: false }
+    }
+
+    /// From now on each connection ends with its next response.
+    pub fn stop(&mut self) {
+        self.stopping = true;
     }
 
     /// Whether a session is one of this front's.
@@ -187,6 +193,7 @@
             .with("Access-Control-Allow-Origin", &self.setup.origin)
             .with("Access-Control-Expose-Headers", "Location, ETag, Retry-After, Allow");
         let status = response.status;
+        let keep_alive = keep_alive && !self.stopping;
         out.push(Wish::Write(conn, response.encode(keep_alive), carries));
         if !keep_alive {
             if let Some(c) = self.conns.get_mut(&conn) {
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -178,6 +178,17 @@
     );
 }
 
+#[test]
+fn what_stands_at_the_end_of_the_broker_is_released_on_both_sides() {
+    let mut core = Core::new(1);
+    let set_up = sent(&core.ask(1, PAID)).remove(0);
+    core.stands(1, &set_up.server);
+    let out = core.tell(Input::End);
+    assert!(out.contains(&Effect::Cut(SessionId(1), set_up.server)));
+    assert!(out.contains(&Effect::Ended(SessionId(1), Status::Reset)));
+    assert_eq!((core.broker.standing(), core.broker.unanswered()), (0, 0));
+}
+
 #[test]
 fn nothing_new_goes_to_a_draining_server() {
     let mut core = Core::new(1);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -127,10 +127,10 @@
     let mut viewer = Viewer::new(&program);
     viewer.set_up(A, "paid", "");
     edge.nth_set_up(1);
+    let mut late = Viewer::new(&program);
     program.terminate();
     program.logged("stopping");
-    // Connections keep coming for a while, and tests tell clients to go elsewhere.
-    let mut late = Viewer::new(&program);
+    // Requests keep coming for a while, and tests tell clients to go elsewhere.
     late.say(json!({"type": "ping", "id": B, "fields": {}}));
     assert_eq!(late.hear().unwrap()["cause"], 0);
     edge.answer_now(id(A));
