Name the setting of an address that can't be listened on

Seen as a new user: an address in use ended the program with the system's message alone. The line now names the setting and the address (net/mod.rs, run); a test holds it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -47,7 +47,7 @@
     match command.as_deref() {
         Some("serve") => {
             let config = config(file)?;
-            net::run(&config).map_err(|e| format!("can't serve: {e}"))
+            net::run(&config).map_err(|e| e.to_string())
         }
         Some("check") => config(file).map(|config| println!("{}: the configuration can work", config.name)),
         Some("version") => version(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -352,7 +352,9 @@
     let whip = config.whip.as_ref().map(|w| w.listen);
     for (address, front) in [(config.listen, Front::Platform), (whip, Front::Whip)] {
         let Some(address) = address else { continue };
-        let listener = Async::<TcpListener>::bind(address)?;
+        let field = if front == Front::Whip { "whip.listen" } else { "listen" };
+        let listener = Async::<TcpListener>::bind(address)
+            .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))?;
         log(&format!("{} listens on {} for {}", config.name, listener.get_ref().local_addr()?, front.name()));
         fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most)));
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -214,6 +214,10 @@
         (Some(with("/settings/Instances", json!(0))), "settings.Instances"),
         (Some(with("/settings/FamilyInfo/LadderKb", json!([]))), "settings.FamilyInfo.LadderKb"),
     ];
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = json!(taken.local_addr().unwrap().to_string());
+    let (fine, text) = run(&["serve"], Some(&with("/listen", address)));
+    assert!(!fine && text.contains("listen:") && text.lines().count() == 1, "{text}");
     for (config, field) in cases {
         for command in ["check", "serve"] {
             let (fine, text) = run(&[command], config.as_deref());
