Tell clients in time when a server is gone without resetting its connections

The log shows s- gone from the list at 43.43 s while its old connection stayed open and silent and a check was refused at 43.74 s; the next check came at 47.99 s.

Wrong lines: links.rs took a refusal beside an open connection as a sign of life and set the time last heard; node.rs waited for connections even when the list said gone. Both came with the rule for draining servers.

Changed: what the list calls gone, or leaves out, is lost at once. A refusal no longer counts as being heard; checks go out twice a second; after a reset, or 7 s of silence, a refusal means lost whatever the list says.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,7 +44,7 @@
     connect_timeout: Duration,
 }
 
-type Node0 = Rc<Shared>;
+type Handle = Rc<Shared>;
 
 fn micros(span: Micros) -> Duration {
     Duration::from_micros(span.0)
@@ -85,7 +85,7 @@
 }
 
 /// Lets the node do something, then carries its commands out.
-fn step<T>(shared: &Node0, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
+fn step<T>(shared: &Handle, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
     let now = shared.now();
     let mut commands = Vec::new();
     let (result, lines) = {
@@ -120,7 +120,7 @@
 }
 
 /// Reads and writes until the connection ends; gives the reason's code.
-async fn drive(shared: &Node0, conn: ConnId, stream: &Async<TcpStream>, outbox: &Outbox) -> &'static str {
+async fn drive(shared: &Handle, conn: ConnId, stream: &Async<TcpStream>, outbox: &Outbox) -> &'static str {
     let read = async {
         let mut stream = stream;
         let mut buffer = vec![0; 16 * 1024];
@@ -157,11 +157,12 @@
     }
 }
 
-fn ended_with(outbox: &Outbox) -> Closed {
-    Closed::Ended { unsent: outbox.unsent(), unfinished: outbox.unfinished() }
+fn ended_with(outbox: &Outbox, reason: &str) -> Closed {
+    let reset = matches!(reason, "reset" | "broken-pipe");
+    Closed::Ended { unsent: outbox.unsent(), unfinished: outbox.unfinished(), reset }
 }
 
-fn ended(shared: &Node0, conn: ConnId, peer: &str, reason: &str, how: Closed) {
+fn ended(shared: &Handle, conn: ConnId, peer: &str, reason: &str, how: Closed) {
     shared.boxes.borrow_mut().remove(&conn);
     log(&format!("end conn={} peer={peer} reason={reason}", conn.0));
     step(shared, |node, now, out| node.closed(now, conn, &how, out));
@@ -175,14 +176,14 @@
     .await
 }
 
-async fn dial(shared: Node0, conn: ConnId, address: SocketAddr, outbox: Rc<Outbox>) {
+async fn dial(shared: Handle, conn: ConnId, address: SocketAddr, outbox: Rc<Outbox>) {
     let peer = format!("edge:{address}");
     match within(shared.connect_timeout, Async::<TcpStream>::connect(address)).await {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
             step(&shared, |node, now, out| node.opened(now, conn, out));
             let reason = drive(&shared, conn, &stream, &outbox).await;
-            ended(&shared, conn, &peer, reason, ended_with(&outbox));
+            ended(&shared, conn, &peer, reason, ended_with(&outbox, reason));
         }
         Err(error) => {
             let (reason, how) = match error.kind() {
@@ -197,7 +198,7 @@
     }
 }
 
-async fn serve(shared: Node0, stream: Async<TcpStream>, peer: SocketAddr, front: Front) {
+async fn serve(shared: Handle, stream: Async<TcpStream>, peer: SocketAddr, front: Front) {
     let _ = stream.get_ref().set_nodelay(true);
     let outbox = Rc::new(Outbox::default());
     let conn = step(&shared, |node, _, _| node.number());
@@ -207,10 +208,10 @@
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     shared.accepted.set(shared.accepted.get() - 1);
     shared.room.ring();
-    ended(&shared, conn, &format!("{}:{peer}", front.name()), reason, ended_with(&outbox));
+    ended(&shared, conn, &format!("{}:{peer}", front.name()), reason, ended_with(&outbox, reason));
 }
 
-async fn accept(shared: Node0, listener: Async<TcpListener>, front: Front, most: usize) {
+async fn accept(shared: Handle, listener: Async<TcpListener>, front: Front, most: usize) {
     loop {
         // Descriptors are few: what can't be held waits in the machine's queue.
         while shared.accepted.get() >= most {
@@ -229,7 +230,7 @@
     }
 }
 
-async fn keep_time(shared: Node0) {
+async fn keep_time(shared: Handle) {
     loop {
         let wait = micros(shared.node.borrow().next_alarm() - shared.now());
         if !wait.is_zero() {
@@ -244,7 +245,7 @@
     }
 }
 
-async fn follow(shared: Node0, mut board: Board, address: SocketAddr) {
+async fn follow(shared: Handle, mut board: Board, address: SocketAddr) {
     loop {
         let reason = match follow_once(&shared, &mut board, address).await {
             Ok(()) => "end-of-stream",
@@ -255,7 +256,7 @@
     }
 }
 
-async fn follow_once(shared: &Node0, board: &mut Board, address: SocketAddr) -> io::Result<()> {
+async fn follow_once(shared: &Handle, board: &mut Board, address: SocketAddr) -> io::Result<()> {
     let mut stream = within(micros(board::CONNECT), Async::<TcpStream>::connect(address)).await?;
     stream.write_all(&board.request(&address.to_string())).await?;
     let mut buffer = vec![0; 16 * 1024];
@@ -272,7 +273,7 @@
 }
 
 /// One call to the registry, on a connection of its own.
-async fn call(shared: &Node0, registry: &mut Eureka, call: Call) {
+async fn call(shared: &Handle, registry: &mut Eureka, call: Call) {
     let address = registry.address();
     let work = async {
         let mut stream = Async::<TcpStream>::connect(address).await?;
@@ -302,7 +303,7 @@
 }
 
 /// Takes part in the registry until the bell rings, then leaves it.
-async fn take_part(shared: Node0, mut registry: Eureka, leave: Rc<Bell>) {
+async fn take_part(shared: Handle, mut registry: Eureka, leave: Rc<Bell>) {
     loop {
         match registry.next(shared.now()) {
             Ok(due) => call(&shared, &mut registry, due).await,
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,8 +18,6 @@
 const OWED_KEPT: Micros = Micros(8_000_000);
 /// Keeps the ids of the second front apart from the module's random numbers.
 const WHIP_SEED: u64 = 0x5748_4950;
-/// A server that drains, has no connection left and turns new ones down is lost after so long.
-const DRAIN_SILENCE: Micros = Micros(6_500_000);
 /// Time between looks at connections.
 const LOOK_EVERY: Micros = Micros(250_000);
 
@@ -216,10 +214,7 @@
 
     /// Finds out by one more connection whether a server is lost.
     fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
-        let state = self.servers.get(server).map(|(state, _)| *state);
-        // A server that drains may turn connections down while its sessions play on: no need to ask each time.
-        let asked = state == Some(ServerState::Draining) && self.links.unheard(now, server) < DRAIN_SILENCE;
-        if !asked && !self.links.check(now, server, out) {
+        if !self.links.check(now, server, out) {
             self.tell(now, Input::Lost(server.clone()), out);
         }
     }
@@ -227,13 +222,17 @@
     /// News of the list of servers.
     pub fn news(&mut self, now: Micros, news: News, out: &mut Vec<Command>) {
         let mut lost = Vec::new();
+        if news.kind == ListKind::Complete {
+            let named: BTreeSet<&ServerId> = news.servers.iter().map(|l| &l.entry.id).collect();
+            lost.extend(self.servers.keys().filter(|id| !named.contains(id)).cloned());
+        }
         for listed in &news.servers {
             let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
             lost.extend(self.links.listed(id, listed.address, state));
-            // A process that has started anew holds nothing of what stood there before.
-            if let Some((_, before)) = self.servers.insert(id.clone(), (state, up))
-                && up > before
-            {
+            // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
+            // reset its connections: they may stay open and silent.
+            let before = self.servers.insert(id.clone(), (state, up));
+            if state == ServerState::Gone || before.is_some_and(|(_, before)| up > before) {
                 lost.push(id.clone());
             }
         }
@@ -330,7 +329,7 @@
         match server_is {
             Server::Up => {}
             Server::Unsure => self.check(now, &server, out),
-            Server::TurnsDown if drains && self.links.unheard(now, &server) < DRAIN_SILENCE => {}
+            Server::TurnsDown if drains => {}
             Server::TurnsDown | Server::Lost => self.tell(now, Input::Lost(server), out),
         }
     }
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -19,6 +19,12 @@
 /// How much later than due a server's notes may come before its connection is taken to be dead.
 const NOTES_SPARE: Micros = Micros(500_000);
 
+/// Time between checks of one server.
+const CHECK_EVERY: Micros = Micros(500_000);
+/// A server that turns connections down and was not heard of for so long is lost, whatever the list says: the
+/// clients of what stood there must be told within 8 s.
+const LOST_SILENCE: Micros = Micros(7_000_000);
+
 /// What the driver is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -56,6 +62,8 @@
         unsent: Vec<SessionId>,
         /// Of what was marked by these, not all was written.
         unfinished: Vec<SessionId>,
+        /// It was reset, as by a process that dies.
+        reset: bool,
     },
 }
 
@@ -79,7 +87,7 @@
     Unsure,
     /// It turns new connections down and no old one is left: lost, unless it drains.
     TurnsDown,
-    /// Nothing of it answers any more.
+    /// It is lost.
     Lost,
 }
 
@@ -104,6 +112,10 @@
     links: BTreeMap<ConnId, Link>,
     /// When a server was last heard of, or found to accept a connection.
     alive: BTreeMap<ServerId, Micros>,
+    /// Servers that reset a connection and have accepted none since.
+    reset: BTreeSet<ServerId>,
+    /// When a server was last checked.
+    checked: BTreeMap<ServerId, Micros>,
     next: u64,
     idle: Micros,
     quiet: Micros,
@@ -127,7 +139,8 @@
     pub fn new(idle: Micros, tell: Micros, see: Micros) -> Links {
         let quiet = if tell == Micros(0) { Micros::MAX } else { tell + see + NOTES_SPARE };
         let (addresses, links, alive) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Links { addresses, links, alive, next: 0, idle, quiet }
+        let (reset, checked) = (BTreeSet::new(), BTreeMap::new());
+        Links { addresses, links, alive, reset, checked, next: 0, idle, quiet }
     }
 
     /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
@@ -191,10 +204,15 @@
         }
     }
 
-    /// Opens one more connection, whose failure tells that the server is lost.
+    /// Opens one more connection, whose end tells whether the server is lost; false if it has no address left.
     pub fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) -> bool {
         let dialling = self.links.values().any(|l| l.server == *server && !l.open);
-        dialling || self.dial(now, server, out).is_some()
+        let lately = self.checked.get(server).is_some_and(|at| now - *at < CHECK_EVERY);
+        if dialling || lately {
+            return true;
+        }
+        self.checked.insert(server.clone(), now);
+        self.dial(now, server, out).is_some()
     }
 
     fn write(
@@ -297,6 +315,7 @@
         }
         let server = link.server.clone();
         self.alive.insert(server.clone(), now);
+        self.reset.remove(&server);
         // The ones before it said nothing for too long, or are about to be closed.
         for (id, old) in self.links.iter().filter(|(id, l)| **id != conn && l.server == server) {
             if old.open && old.set_ups.is_empty() {
@@ -349,15 +368,18 @@
         };
         let over = link.set_ups.keys().copied().map(ended).collect();
         let open = self.links.values().any(|l| l.server == link.server && l.open);
+        let unheard = self.unheard(now, &link.server);
+        if matches!(how, Closed::Ended { reset: true, .. }) {
+            self.reset.insert(link.server.clone());
+        }
         let server_is = match how {
-            // A process that has died takes its connections with it; one that drains only takes no new ones.
-            Closed::Refused if open => {
-                self.alive.insert(link.server.clone(), now);
-                Server::Up
-            }
+            // A server that drains turns new connections down while its sessions play on; only an older
+            // connection that was reset, or a long silence, tells it from one that has died.
+            Closed::Refused if self.reset.contains(&link.server) || unheard >= LOST_SILENCE => Server::Lost,
+            Closed::Refused if open => Server::Up,
             Closed::Refused => Server::TurnsDown,
             // A machine that is cut off leaves its connections open and silent.
-            Closed::NoAnswer if open && self.unheard(now, &link.server) <= self.quiet => Server::Up,
+            Closed::NoAnswer if unheard <= self.quiet => Server::Up,
             Closed::NoAnswer => Server::Lost,
             Closed::Unopened => Server::Up,
             Closed::Ended { .. } if open => Server::Up,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -18,7 +18,8 @@
 }
 
 const ID: SessionId = SessionId(0x9b1f_03aa_5c7e_2d41);
-const UNSENT: Closed = Closed::Ended { unsent: Vec::new(), unfinished: Vec::new() };
+const UNSENT: Closed = Closed::Ended { unsent: Vec::new(), unfinished: Vec::new(), reset: false };
+const RESET: Closed = Closed::Ended { unsent: Vec::new(), unfinished: Vec::new(), reset: true };
 
 impl World {
     /// Servers send notes each second.
@@ -67,6 +68,13 @@
         dials
     }
 
+    /// Turns down every connection that was asked for.
+    fn refuse_all(&mut self) {
+        for conn in self.dials() {
+            self.closed(conn, &Closed::Refused);
+        }
+    }
+
     /// What was written on a connection.
     fn written(&self, to: ConnId) -> String {
         let write = |c: &Command| match c {
@@ -109,18 +117,46 @@
     let (viewer, edge) = world.playing();
     world.list("s-0", ServerState::Draining, 1);
     world.pass(2500);
-    assert!(world.dials().is_empty(), "its silence is no news");
-    world.pass(5000);
-    let check = world.dials()[0];
-    world.closed(check, &Closed::Refused);
+    world.refuse_all();
     assert!(!world.ended(viewer), "its connection is still open");
     world.closed(edge, &UNSENT);
+    world.refuse_all();
     assert!(!world.ended(viewer), "it may still play");
     world.list("s-0", ServerState::Gone, 1);
-    world.pass(500);
-    for check in world.dials() {
-        world.closed(check, &Closed::Refused);
+    assert!(world.ended(viewer), "the list says that it is gone");
+}
+
+/// Seen on another such day: a server was gone without resetting its connection, and a refused check beside
+/// that connection was taken as a sign of life, so that clients heard of the end more than 8 s late.
+#[test]
+fn a_silent_server_that_turns_connections_down_is_lost_in_time_whatever_the_list_says() {
+    for state in [ServerState::Ready, ServerState::Draining] {
+        let mut world = World::new();
+        let (viewer, _) = world.playing();
+        world.list("s-0", state, 1);
+        for _ in 0..78 {
+            world.pass(100);
+            world.refuse_all();
+        }
+        assert!(world.ended(viewer), "{state:?}");
     }
+}
+
+#[test]
+fn a_draining_process_that_resets_its_connection_and_is_not_there_any_more_is_lost() {
+    let mut world = World::new();
+    let (viewer, edge) = world.playing();
+    world.list("s-0", ServerState::Draining, 1);
+    world.closed(edge, &RESET);
+    world.refuse_all();
+    assert!(world.ended(viewer));
+}
+
+#[test]
+fn what_a_complete_list_leaves_out_is_lost() {
+    let mut world = World::new();
+    let (viewer, _) = world.playing();
+    world.node.news(world.now, News { kind: ListKind::Complete, servers: Vec::new() }, &mut world.out);
     assert!(world.ended(viewer));
 }
 
@@ -143,6 +179,7 @@
     world.node.opened(world.now, check, &mut world.out);
     assert!(!world.ended(viewer));
     world.closed(check, &UNSENT);
+    world.pass(1000);
     let check = world.dials()[0];
     world.closed(check, &Closed::Refused);
     assert!(world.ended(viewer));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -379,5 +379,10 @@
 pub fn ask(program: &Program, method: &str, path: &str, body: Option<&str>) -> Reply {
     let mut stream = program.connect("http");
     stream.write_all(&http(method, path, body)).unwrap();
-    reply(&mut stream).expect("each request is answered")
+    let answer = reply(&mut stream).expect("each request is answered");
+    let mut rest = Vec::new();
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.read_to_end(&mut rest);
+    assert!(rest.is_empty(), "and answered once");
+    answer
 }
