--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -73,8 +73,15 @@
     closing: bool,
 }
 
+/// Names a booking: the title's name, and its own.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct BookingId {
+    title: String,
+    name: String,
+}
+
 struct Session {
-    booking: Option<(String, String)>,
+    booking: Option<BookingId>,
     waiters: BTreeSet<ConnId>,
     answer: Option<Description>,
     /// Nobody has heard of the session: it ends at this time.
@@ -105,7 +112,7 @@
     rng: fastrand::Rng,
     conns: BTreeMap<ConnId, Conn>,
     sessions: BTreeMap<SessionId, Session>,
-    bookings: BTreeMap<(String, String), Booking>,
+    bookings: BTreeMap<BookingId, Booking>,
     stopping: bool,
 }
 
@@ -256,7 +263,11 @@
                 }
             }
             ("DELETE", Route::Booking(_, booking), _) => {
-                let held = match self.bookings.get(&(name.clone(), booking)).map(|b| b.stage) {
+                let held = match self
+                    .bookings
+                    .get(&BookingId { title: name.clone(), name: booking })
+                    .map(|b| b.stage)
+                {
                     Some(Stage::Held(id)) => Some(id),
                     _ => None,
                 };
@@ -301,7 +312,7 @@
             (false, Some(_)) => return Some(Response::text(404, "this title takes no bookings")),
             _ => {}
         }
-        let key = booking.map(|booking| (name.clone(), booking));
+        let key = booking.map(|booking| BookingId { title: name.clone(), name: booking });
         if let Some(key) = &key
             && let Some(known) = self.bookings.get(key)
         {
@@ -366,7 +377,7 @@
         self.tell_all(id, &session.waiters, &Response::text(409, "the set-up was deleted"), None, out);
     }
 
-    fn spend(&mut self, now: Micros, key: &(String, String), stage: Stage) {
+    fn spend(&mut self, now: Micros, key: &BookingId, stage: Stage) {
         if let Some(booking) = self.bookings.get_mut(key) {
             (booking.stage, booking.at) = (stage, now);
         }
