Read the configuration anew on SIGHUP and follow the notice board to its new address

Checked: net::run registered SIGTERM and SIGINT only, so the system's default for SIGHUP ended the process; no line of its log told of it. Ruled out: a panic (none logged) and memory (1 of 48 MB).

Now one task hears all signals for as long as the program runs, also while it stops. The file is validated anew; a bad one is logged and the old one stays. A new board is asked at once, with the number of the last event that was heard, in the middle of a dial too; `known` goes through the same filter as the board's events, so it never winds the list back. Requests, sessions, connections and the module are not touched. A fixed list, titles and the script of an operator's file are taken in as well.

The tests fail without it (the program dies on the signal). They cover a bad file, repeats, a wound-back list, a set-up that is out meanwhile, and a reload while the program stops.

--- a/src/board.rs
+++ b/src/board.rs
@@ -46,12 +46,18 @@
     /// Takes in the events of the start.
     pub fn new(names: Names, known: &Value) -> (Board, Vec<News>) {
         let mut board = Board { names, last: 0, stream: None };
-        let notices = known.get("notices").and_then(Value::as_array);
-        let news = notices.into_iter().flatten().filter_map(|n| board.notice(n, None)).collect();
+        let news = board.known(known);
         board.last = known.get("rev").and_then(Value::as_u64).unwrap_or(board.last);
         (board, news)
     }
 
+    /// Takes in the events of a configuration, but for those that were heard before: the list is never wound
+    /// back.
+    pub fn known(&mut self, known: &Value) -> Vec<News> {
+        let notices = known.get("notices").and_then(Value::as_array);
+        notices.into_iter().flatten().filter_map(|n| self.notice(n, None)).collect()
+    }
+
     /// The number of the last event that was taken in.
     pub fn last(&self) -> u64 {
         self.last
--- a/src/config.rs
+++ b/src/config.rs
@@ -206,6 +206,22 @@
 }
 
 impl Config {
+    /// Settings in which another configuration differs and which only a new start can take in.
+    pub fn fixed(&self, new: &Config) -> Vec<&'static str> {
+        let listen = |config: &Config| config.whip.as_ref().map(|w| w.listen);
+        [
+            ("name", self.name != new.name),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("settings", self.settings != new.settings || self.names != new.names),
+            ("listen", self.listen != new.listen),
+            ("whip.listen", listen(self) != listen(new)),
+            ("eureka", self.eureka != new.eureka),
+        ]
+        .into_iter()
+        .filter_map(|(field, differs)| differs.then_some(field))
+        .collect()
+    }
+
     /// Reads an operator's file. Paths in it start from its folder.
     pub fn operator(path: &Path) -> Read<Config> {
         let file = path.display().to_string();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,17 @@
 //! The command line.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use amberspindle::config::Config;
+use amberspindle::config::{Config, ConfigError};
 use amberspindle::net;
 
 const HELP: &str = "\
 amberspindle: a playback broker
 
-usage: amberspindle serve [--config FILE]      serve until SIGTERM or SIGINT
+usage: amberspindle serve [--config FILE]      serve until SIGTERM or SIGINT;
+                                             SIGHUP reads the configuration anew
        amberspindle check [--config FILE]      say whether the configuration can work
        amberspindle version                    print the version
        amberspindle help                       print this
@@ -46,10 +47,12 @@
     }
     match command.as_deref() {
         Some("serve") => {
-            let config = config(file)?;
-            net::run(&config).map_err(|e| e.to_string())
+            let config = read(file.as_deref()).map_err(|e| e.to_string())?;
+            net::run(&config, move || read(file.as_deref())).map_err(|e| e.to_string())
         }
-        Some("check") => config(file).map(|config| println!("{}: the configuration can work", config.name)),
+        Some("check") => read(file.as_deref())
+            .map_err(|e| e.to_string())
+            .map(|config| println!("{}: the configuration can work", config.name)),
         Some("version") => version(),
         Some("help") | None => {
             println!("{HELP}");
@@ -64,12 +67,13 @@
     Ok(())
 }
 
-fn config(file: Option<PathBuf>) -> Result<Config, String> {
+/// Reads the operator's file, or what the platform says.
+fn read(file: Option<&Path>) -> Result<Config, ConfigError> {
     if let Some(file) = file {
-        return Config::operator(&file).map_err(|e| e.to_string());
+        return Config::operator(file);
     }
     let env: BTreeMap<String, String> = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
         .collect();
-    Config::platform(&env).map_err(|e| e.to_string())
+    Config::platform(&env)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::api::Micros;
 use crate::board::{self, Board};
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::eureka::{self, Call, Eureka};
 use crate::http::client;
 use crate::node::{Front, Node};
@@ -39,6 +39,10 @@
     boxes: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
     clock: Clock,
     bell: Bell,
+    board: RefCell<Board>,
+    /// Where the notice board listens, and the bell that tells of a new address.
+    board_at: Cell<Option<SocketAddr>>,
+    board_moved: Bell,
     accepted: Cell<usize>,
     room: Bell,
     connect_timeout: Duration,
@@ -245,33 +249,98 @@
     }
 }
 
-async fn follow(shared: Handle, mut board: Board, address: SocketAddr) {
+/// Follows the notice board, wherever the configuration says it is.
+async fn follow(shared: Handle) {
     loop {
-        let reason = match follow_once(&shared, &mut board, address).await {
-            Ok(()) => "end-of-stream",
-            Err(error) => code(&error),
+        let Some(address) = shared.board_at.get() else {
+            shared.board_moved.heard().await;
+            continue;
         };
-        log(&format!("end peer=board:{address} reason={reason} last={}", board.last()));
-        Timer::after(micros(board::RETRY)).await;
+        let end = |reason: &str| {
+            log(&format!("end peer=board:{address} reason={reason} last={}", shared.board.borrow().last()));
+        };
+        let moved = async {
+            shared.board_moved.heard().await;
+            end("moved");
+        };
+        let stay = async {
+            match follow_once(&shared, address).await {
+                Ok(()) => end("end-of-stream"),
+                Err(error) => end(code(&error)),
+            }
+            Timer::after(micros(board::RETRY)).await;
+        };
+        // A new address is asked at once, also in the middle of a dial or of the wait before the next.
+        future::or(moved, stay).await;
     }
 }
 
-async fn follow_once(shared: &Handle, board: &mut Board, address: SocketAddr) -> io::Result<()> {
+async fn follow_once(shared: &Handle, address: SocketAddr) -> io::Result<()> {
     let mut stream = within(micros(board::CONNECT), Async::<TcpStream>::connect(address)).await?;
-    stream.write_all(&board.request(&address.to_string())).await?;
+    let request = shared.board.borrow_mut().request(&address.to_string());
+    stream.write_all(&request).await?;
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let n = within(micros(board::SILENCE), stream.read(&mut buffer)).await?;
         if n == 0 {
             return Ok(());
         }
-        let news = board.bytes(&buffer[..n]).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
-        for news in news {
+        let news = shared.board.borrow_mut().bytes(&buffer[..n]);
+        for news in news.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))? {
             step(shared, |node, now, out| node.news(now, news, out));
         }
     }
 }
 
+/// Takes a new configuration in; one that can't work is logged, and the old one stays.
+fn reload(shared: &Handle, old: &mut Config, read: Result<Config, ConfigError>) {
+    let new = match read {
+        Ok(new) => new,
+        Err(problem) => return log(&format!("reload refused problem={problem}")),
+    };
+    let fixed = old.fixed(&new);
+    for field in &fixed {
+        log(&format!("reload {field}: changed, waits for the next start"));
+    }
+    let news = if new.board.is_some() || new.known == old.known {
+        shared.board.borrow_mut().known(&new.known)
+    } else {
+        // A list that stands in the file has no numbers: it is taken as a whole.
+        Board::new(old.names.clone(), &new.known).1
+    };
+    // Titles name classes of the settings that they came with.
+    if !fixed.contains(&"settings") {
+        shared.node.borrow_mut().reload(&new);
+    }
+    for news in news {
+        step(shared, |node, now, out| node.news(now, news, out));
+    }
+    if shared.board_at.replace(new.board) != new.board {
+        shared.board_moved.ring();
+    }
+    (old.board, old.known) = (new.board, new.known);
+    log(&format!("reloaded last={}", shared.board.borrow().last()));
+}
+
+/// Hears the signals as long as the program runs: SIGHUP reloads, the first of the others rings to stop.
+async fn signals(
+    shared: Handle,
+    mut signals: Signals,
+    mut config: Config,
+    reread: impl Fn() -> Result<Config, ConfigError>,
+    stop: Rc<Bell>,
+) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(&shared, &mut config, reread()),
+            other => {
+                log(&format!("stopping signal={other:?}"));
+                stop.ring();
+            }
+        }
+    }
+}
+
 /// One call to the registry, on a connection of its own.
 async fn call(shared: &Handle, registry: &mut Eureka, call: Call) {
     let address = registry.address();
@@ -327,26 +396,27 @@
     }
 }
 
-/// Serves until it is told to stop.
-pub fn run(config: &Config) -> io::Result<()> {
+/// Serves until it is told to stop. `reread` gives the configuration anew when that is asked for.
+pub fn run(config: &Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
+    let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let (board, known) = Board::new(config.names.clone(), &config.known);
     let shared = Rc::new(Shared {
         executor: LocalExecutor::new(),
         node: RefCell::new(Node::new(config)),
         boxes: RefCell::new(BTreeMap::new()),
         clock: Clock::default(),
         bell: Bell::default(),
+        board: RefCell::new(board),
+        board_at: Cell::new(config.board),
+        board_moved: Bell::default(),
         accepted: Cell::new(0),
         room: Bell::default(),
         connect_timeout: micros(config.connect_timeout),
     });
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    let (board, known) = Board::new(config.names.clone(), &config.known);
     for news in known {
         step(&shared, |node, now, out| node.news(now, news, out));
     }
-    if let Some(address) = config.board {
-        shared.executor.spawn(follow(shared.clone(), board, address)).detach();
-    }
+    shared.executor.spawn(follow(shared.clone())).detach();
     // A third for viewers is the platform's share; the rest is for servers and what is closing.
     let most = config.sockets / 2;
     let mut fronts = Vec::new();
@@ -365,10 +435,12 @@
         shared.executor.spawn(take_part(shared.clone(), registry, leave.clone()))
     });
     shared.executor.spawn(keep_time(shared.clone())).detach();
+    let stopping = Rc::new(Bell::default());
+    let signals = signals(shared.clone(), heard, config.clone(), reread, stopping.clone());
+    shared.executor.spawn(signals).detach();
     let stop = async {
-        let signal = signals.next().await;
+        stopping.heard().await;
         let asked = shared.now();
-        log(&format!("stopping signal={signal:?}"));
         shared.node.borrow_mut().stop();
         leave.ring();
         Timer::after(micros(STILL_COMING)).await;
--- a/src/node.rs
+++ b/src/node.rs
@@ -93,6 +93,14 @@
         (self.broker.unanswered(), self.broker.standing())
     }
 
+    /// Takes in what a new configuration says of the script and the titles; what waits or plays is untouched.
+    pub fn reload(&mut self, config: &Config) {
+        self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
+        if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
+            whip.reload(new.setup.clone());
+        }
+    }
+
     /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -130,6 +130,11 @@
         Front { setup, classes, rng, conns, sessions, bookings, stopping: false }
     }
 
+    /// From now on new requests follow this set-up.
+    pub fn reload(&mut self, setup: Setup) {
+        self.setup = setup;
+    }
+
     /// From now on each connection ends with its next response.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -140,38 +140,127 @@
     assert!(program.ended_well());
 }
 
+/// A stand-in notice board.
+struct Board(TcpListener);
+
+impl Board {
+    fn new() -> Board {
+        Board(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// A configuration that names it, with the events of the start.
+    fn config(&self, known: &Value) -> String {
+        let board = self.0.local_addr().unwrap().to_string();
+        json!({"name": "n1", "listen": "127.0.0.1:0", "board": board, "known": known, "settings": settings(LONG)})
+            .to_string()
+    }
+
+    fn start(&self, known: &Value) -> Program {
+        let files = tempdir::Dir::new();
+        let path = files.write("board.json", &self.config(known));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
+        command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
+        Program::start(command, files, &["viewer"])
+    }
+
+    /// The next time it is asked: the connection, and the number of the last event that was heard.
+    fn asked(&self) -> (TcpStream, u64) {
+        let (stream, _) = self.0.accept().unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        let head: Vec<String> = lines.map_while(Result::ok).take_while(|l| !l.is_empty()).collect();
+        assert!(head[0].starts_with("GET /board/poll "), "{head:?}");
+        let last = head.iter().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap();
+        (stream, last.parse().unwrap())
+    }
+
+    fn answer(stream: &mut TcpStream, body: &str) {
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n{body}")
+            .unwrap();
+    }
+}
+
 /// A board that breaks off is asked anew, from the last event that was heard.
 #[test]
 fn the_board_is_followed_and_asked_anew_after_a_break() {
     let edge = Edge::start(Manner::Answers);
-    let board = TcpListener::bind("127.0.0.1:0").unwrap();
-    let files = tempdir::Dir::new();
-    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "board": board.local_addr().unwrap().to_string(),
-        "known": {"rev": 4, "notices": []}, "settings": settings(LONG)});
-    let path = files.write("board.json", &config.to_string());
-    let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
-    command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
-    let program = Program::start(command, files, &["viewer"]);
-    let head = |stream: &TcpStream| -> String {
-        let lines = BufReader::new(stream.try_clone().unwrap()).lines();
-        lines.map_while(Result::ok).take_while(|l| !l.is_empty()).collect::<Vec<_>>().join("\n")
-    };
-    let (mut first, _) = board.accept().unwrap();
-    let asked = head(&first);
-    assert!(asked.contains("GET /board/poll") && asked.contains("Last-Event-ID: 4"), "{asked}");
+    let board = Board::new();
+    let program = board.start(&json!({"rev": 4, "notices": []}));
+    let (mut first, last) = board.asked();
+    assert_eq!(last, 4);
     let mut event = known(&[&edge])["notices"][0].clone();
     event["rev"] = json!(5);
-    write!(
-        first,
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\nid: 5\ndata: {event}\n\n"
-    )
-    .unwrap();
+    Board::answer(&mut first, &format!("id: 5\ndata: {event}\n\n"));
     drop(first);
-    let (second, _) = board.accept().unwrap();
-    assert!(head(&second).contains("Last-Event-ID: 5"));
+    assert_eq!(board.asked().1, 5);
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "clip", "");
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+}
+
+/// Guards against SIGHUP ending the broker, against a bad file taking the place of a good one, against a list
+/// that is wound back, and against a reload that touches what waits or plays or that is lost in another one.
+#[test]
+fn a_new_configuration_is_taken_in_while_all_goes_on() {
+    let edge = Edge::start(Manner::Silent);
+    let (board, next) = (Board::new(), Board::new());
+    let program = board.start(&known(&[&edge]));
+    let _first = board.asked();
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "paid", "");
+    edge.nth_set_up(1);
+    program.files.write("board.json", "{");
+    program.hang_up();
+    program.logged("reload refused problem=LB_CONFIG");
+    // The new file tells the list anew under the old number, without the server: that is no news.
+    let mut wound = known(&[]);
+    wound["notices"][0]["rev"] = json!(1);
+    program.files.write("board.json", &next.config(&wound));
+    program.hang_up();
+    let (_second, last) = next.asked();
+    assert_eq!(last, 1, "asked at once, from where the list stands");
+    program.logged("reason=moved last=1");
+    edge.answer_now(id(A));
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    // A set-up after it, and a reload while the program stops.
+    viewer.set_up(B, "clip", "");
+    edge.nth_set_up(2);
+    program.terminate();
+    program.logged("stopping");
+    program.files.write("board.json", &board.config(&wound));
+    program.hang_up();
+    assert_eq!(board.asked().1, 1);
+    edge.answer_now(id(B));
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    edge.say(release(id(A), cause::NORMAL));
+    edge.say(release(id(B), cause::NORMAL));
+    assert!(program.ended_well());
+}
+
+/// A fixed list in an operator's file is taken as a whole when it has changed.
+#[test]
+fn a_fixed_list_is_taken_in_anew() {
+    let (old, new) = (Edge::start(Manner::Answers), Edge::start(Manner::Answers));
+    let text = |edge: &Edge| {
+        let settings = toml::to_string(&json!({"settings": settings(LONG)})).unwrap();
+        let address = edge.address;
+        format!(
+            "[platform]\nlisten = \"127.0.0.1:0\"\n[[server]]\nid = \"s-{}\"\naddress = \"{address}\"\ncell = 0\n{settings}",
+            address.port()
+        )
+    };
+    let files = tempdir::Dir::new();
+    let path = files.write("operator.toml", &text(&old));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
+    command.arg("serve").arg("--config").arg(path);
+    let program = Program::start(command, files, &["viewer"]);
+    program.files.write("operator.toml", &text(&new));
+    program.hang_up();
+    program.logged("reloaded");
     let mut viewer = Viewer::new(&program);
     viewer.set_up(A, "clip", "");
     assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    assert_eq!((old.set_ups().len(), new.set_ups().len()), (0, 1));
 }
 
 fn run(arguments: &[&str], config: Option<&str>) -> (bool, String) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -191,7 +191,7 @@
     pub fronts: BTreeMap<String, SocketAddr>,
     /// Its log, line by line.
     pub log: Arc<(Mutex<Vec<String>>, Condvar)>,
-    _files: tempdir::Dir,
+    pub files: tempdir::Dir,
 }
 
 pub mod tempdir {
@@ -274,7 +274,7 @@
                 writer.1.notify_all();
             }
         });
-        let mut program = Program { child, fronts: BTreeMap::new(), log, _files: files };
+        let mut program = Program { child, fronts: BTreeMap::new(), log, files };
         for front in fronts {
             let line = program.logged(&format!(" for {front}"));
             let address = line.split(" listens on ").nth(1).unwrap().split(' ').next().unwrap();
@@ -304,8 +304,17 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
     /// Waits for its end; gives whether it ended well.
