Give a set-up up on its own connection, before the next attempt leaves

Checked: Links::give_up marks a connection as suspect when it has been silent since the set-up was written, and then sent the release through `write`, which passes suspect connections by. So the release waited for a new connection to come up, while the next attempt went out at once on one that was up. Ruled out: two attempts in the core (its stage allows one), and the order within one step (the release comes first in the command list).

Now the release is written on the set-up's own connection, behind it. The test fails without it: the first command is a dial.

--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -260,8 +260,8 @@
 
     /// Gives a set-up up. One that waits for its connection is taken back and never leaves.
     pub fn give_up(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
-        let own = |l: &&mut Link| l.server == *server && l.set_ups.contains_key(&id);
-        let Some(link) = self.links.values_mut().find(own) else { return };
+        let own = |(_, l): &(&ConnId, &mut Link)| l.server == *server && l.set_ups.contains_key(&id);
+        let Some((conn, link)) = self.links.iter_mut().find(own) else { return };
         let written = link.set_ups.remove(&id);
         let queued = link.queue.len();
         link.queue.retain(|(of, _)| *of != Some(id));
@@ -272,7 +272,12 @@
         if written.is_some_and(|at| link.heard < at) {
             link.suspect = true;
         }
-        self.release(now, id, server, out);
+        // On the set-up's own connection, behind it: anywhere else it could come later than the next attempt
+        // elsewhere, and two would be out at once.
+        if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
+            link.used = now;
+            out.push(Command::Write(*conn, bytes, None));
+        }
     }
 
     /// Whether a set-up still waits for its connection to come up, so that it certainly has not run.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -87,7 +87,11 @@
     }
 
     fn ask(&mut self, conn: ConnId) {
-        let line = json!({"type": "setup", "id": format!("{:016x}", ID.0), "sdp": "offer", "fields":
+        self.ask_as(conn, ID);
+    }
+
+    fn ask_as(&mut self, conn: ConnId, id: SessionId) {
+        let line = json!({"type": "setup", "id": format!("{:016x}", id.0), "sdp": "offer", "fields":
             {"class": "clip", "left": 4000, "key": "k", "extras": "home:0;copies:3;top:1"}});
         self.bytes(conn, format!("{line}\n").as_bytes());
     }
@@ -220,3 +224,21 @@
     assert!(!world.out.iter().any(|c| matches!(c, Command::Write(conn, ..) if *conn == edge)));
     assert_eq!(world.node.held(), (0, 0));
 }
+
+/// Seen after a restart, when many set-ups timed out: a connection that had been silent was left for a new one,
+/// and the give-up with it. It reached its server after the next attempt had reached another: two at once.
+#[test]
+fn a_set_up_is_given_up_on_its_own_connection_before_the_next_attempt_leaves() {
+    let mut world = World::new();
+    let (viewer, first) = world.playing();
+    world.list("s-1", ServerState::Draining, 2);
+    world.pass(100);
+    let second = SessionId(2);
+    world.ask_as(viewer, second);
+    world.list("s-1", ServerState::Ready, 2);
+    world.out.clear();
+    world.pass(1100);
+    let give_up = release(second, cause::NORMAL).finish().unwrap();
+    assert_eq!(world.out[0], Command::Write(first, give_up, None));
+    assert_eq!(world.dials().len(), 1, "one connection, for the next attempt");
+}
