Bound what a connection brings in a turn, and read nothing behind its end

Checked with a probe (now a test): 3.9 MB that lay ready on a connection were read to the last byte although the first 16 KiB had already been refused. net::drive looped over reads that were always ready, so the writer in the same task never had its turn to close; the node went on feeding the decoder, which kept all of it. Ruled out: the outboxes (a few bytes queued), and the module.

Now a read gives way to all others after 16 KiB, input behind a close is dropped, and a peer that takes nothing for 2 s or leaves 128 KiB is let go (1 MiB from each of 500 peers would not fit 32 MB). All connections share one read buffer, and an idle decoder holds none. A close with unread input reset the connection and with it an answer on its way: after an answer the input is dropped for 0.5 s at most.

Both tests fail without it (3,940,352 bytes read; no answer).

--- a/src/message/line.rs
+++ b/src/message/line.rs
@@ -121,7 +121,14 @@
             let bytes = &self.buffer[self.start..];
             let Some(end) = bytes[self.searched..].iter().position(|b| *b == b'\n') else {
                 self.searched = bytes.len();
-                return if bytes.len() >= LARGEST { Err(Malformed::TooLarge) } else { Ok(None) };
+                if bytes.len() >= LARGEST {
+                    return Err(Malformed::TooLarge);
+                }
+                // A connection that waits for its next message holds no memory for it.
+                if bytes.is_empty() {
+                    (self.buffer, self.start) = (Vec::new(), 0);
+                }
+                return Ok(None);
             };
             let end = self.searched + end;
             if end + 1 > LARGEST {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::io::{self, Write as _};
+use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,12 +33,20 @@
 /// A call to the registry that takes longer has failed.
 const CALL: Duration = Duration::from_secs(3);
 
+/// A peer that takes nothing for so long while there is something to write is let go.
+const STALLED: Duration = Duration::from_secs(2);
+/// How long input is dropped behind the end of a client's connection.
+const PARTING: Duration = Duration::from_millis(500);
+/// What one connection may bring in one turn, before the others have theirs.
+const TURN: usize = 16 * 1024;
+
 struct Shared {
     executor: LocalExecutor<'static>,
     node: RefCell<Node>,
     boxes: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
     clock: Clock,
     bell: Bell,
+    buffer: RefCell<Vec<u8>>,
     board: RefCell<Board>,
     /// Where the notice board listens, and the bell that tells of a new address.
     board_at: Cell<Option<SocketAddr>>,
@@ -60,6 +68,23 @@
 }
 
 impl Shared {
+    fn new(config: &Config, board: Board) -> Handle {
+        Rc::new(Shared {
+            executor: LocalExecutor::new(),
+            node: RefCell::new(Node::new(config)),
+            boxes: RefCell::new(BTreeMap::new()),
+            clock: Clock::default(),
+            bell: Bell::default(),
+            buffer: RefCell::new(vec![0; TURN]),
+            board: RefCell::new(board),
+            board_at: Cell::new(config.board),
+            board_moved: Bell::default(),
+            accepted: Cell::new(0),
+            room: Bell::default(),
+            connect_timeout: micros(config.connect_timeout),
+        })
+    }
+
     fn now(&self) -> Micros {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.clock.read(Micros(unix.as_micros() as u64))
@@ -126,14 +151,21 @@
 /// Reads and writes until the connection ends; gives the reason's code.
 async fn drive(shared: &Handle, conn: ConnId, stream: &Async<TcpStream>, outbox: &Outbox) -> &'static str {
     let read = async {
-        let mut stream = stream;
-        let mut buffer = vec![0; 16 * 1024];
         loop {
-            match stream.read(&mut buffer).await {
+            // One buffer does for all connections: nothing else runs between the read and the step.
+            let n = match stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await {
                 Ok(0) => return "end-of-stream",
-                Ok(n) => step(shared, |node, now, out| node.bytes(now, conn, &buffer[..n], out)),
+                Ok(n) => n,
                 Err(error) => return code(&error),
+            };
+            // What comes behind the end is read for nobody.
+            if !outbox.closing() {
+                let buffer = shared.buffer.borrow();
+                step(shared, |node, now, out| node.bytes(now, conn, &buffer[..n], out));
             }
+            // A peer that sends without a pause would otherwise keep all others waiting, and its own writer,
+            // which is to end the connection.
+            future::yield_now().await;
         }
     };
     let write = async {
@@ -141,9 +173,11 @@
             if let Some(reason) = outbox.ready().await {
                 return reason;
             }
-            match stream.write_with(|mut s| outbox.gather(|slices| s.write_vectored(slices))).await {
+            let piece = stream.write_with(|mut s| outbox.gather(|slices| s.write_vectored(slices)));
+            match within(STALLED, piece).await {
                 Ok(0) => return "write-zero",
                 Ok(n) => outbox.written(n),
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => return "stalled",
                 Err(error) => return code(&error),
             }
         }
@@ -151,6 +185,24 @@
     future::or(write, read).await
 }
 
+/// Ends a client's connection so that an answer on its way is not destroyed: closing a socket with unread input
+/// resets the connection. Input is dropped until the client has closed too, for a short while.
+async fn part(shared: &Handle, stream: &Async<TcpStream>, outbox: &Outbox) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    if !outbox.wrote() {
+        return;
+    }
+    let drain = async {
+        loop {
+            match stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await {
+                Ok(0) | Err(_) => return Ok(()),
+                Ok(_) => future::yield_now().await,
+            }
+        }
+    };
+    let _ = within(PARTING, drain).await;
+}
+
 fn code(error: &io::Error) -> &'static str {
     match error.kind() {
         io::ErrorKind::ConnectionReset => "reset",
@@ -209,7 +261,10 @@
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
     step(&shared, |node, now, out| node.accepted(now, conn, front, out));
     let reason = drive(&shared, conn, &stream, &outbox).await;
-    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    if outbox.closing() {
+        part(&shared, &stream, &outbox).await;
+    }
+    drop(stream);
     shared.accepted.set(shared.accepted.get() - 1);
     shared.room.ring();
     ended(&shared, conn, &format!("{}:{peer}", front.name()), reason, ended_with(&outbox, reason));
@@ -400,19 +455,7 @@
 pub fn run(config: &Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
     let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (board, known) = Board::new(config.names.clone(), &config.known);
-    let shared = Rc::new(Shared {
-        executor: LocalExecutor::new(),
-        node: RefCell::new(Node::new(config)),
-        boxes: RefCell::new(BTreeMap::new()),
-        clock: Clock::default(),
-        bell: Bell::default(),
-        board: RefCell::new(board),
-        board_at: Cell::new(config.board),
-        board_moved: Bell::default(),
-        accepted: Cell::new(0),
-        room: Bell::default(),
-        connect_timeout: micros(config.connect_timeout),
-    });
+    let shared = Shared::new(config, board);
     for news in known {
         step(&shared, |node, now, out| node.news(now, news, out));
     }
@@ -472,6 +515,34 @@
 mod tests {
     use super::*;
 
+    /// Seen on a day with bad clients: a message of 60 MB was read to its end, past the limit on memory, as the
+    /// reader left its own writer no turn to end the connection.
+    #[test]
+    fn a_message_that_never_ends_is_cut_off_after_a_turn_or_two() {
+        let settings = include_str!("../../deploy/operator.toml");
+        let config = Config::read(&toml::from_str(settings).unwrap()).unwrap();
+        let shared = Shared::new(&config, Board::new(config.names.clone(), &serde_json::Value::Null).0);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        peer.set_nonblocking(true).unwrap();
+        let mut sent = 0;
+        while let Ok(n) = peer.write(&[b'x'; TURN]) {
+            sent += n;
+        }
+        assert!(sent > 8 * TURN);
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        let outbox = Rc::new(Outbox::default());
+        let conn = step(&shared, |node, _, _| node.number());
+        shared.boxes.borrow_mut().insert(conn, outbox.clone());
+        step(&shared, |node, now, out| node.accepted(now, conn, Front::Platform, out));
+        assert_eq!(async_io::block_on(drive(&shared, conn, &stream, &outbox)), "too-large");
+        let (mut rest, mut left) = (0, vec![0; TURN]);
+        while let Ok(n) = stream.get_ref().read(&mut left) {
+            rest += n;
+        }
+        assert!(sent - rest <= 3 * TURN, "{} of {sent} bytes read", sent - rest);
+    }
+
     #[test]
     fn time_goes_on_when_the_clock_is_set_back() {
         let clock = Clock::default();
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -8,8 +8,8 @@
 
 use crate::api::SessionId;
 
-/// A peer that leaves so much unread is let go.
-const MOST_BYTES: usize = 1024 * 1024;
+/// A peer that leaves so much unread is let go. The broker may have no more than 32 MB for all connections.
+const MOST_BYTES: usize = 128 * 1024;
 /// Pieces of one gathered write.
 const MOST_PIECES: usize = 64;
 
@@ -50,11 +50,22 @@
     offset: Cell<usize>,
     bytes: Cell<usize>,
     closing: Cell<Option<&'static str>>,
+    wrote: Cell<bool>,
     bell: Bell,
 }
 
 impl Outbox {
-    /// Queues a piece; a set-up's is marked by its session.
+    /// Whether the connection is to end: what comes in is not wanted any more.
+    pub fn closing(&self) -> bool {
+        self.closing.get().is_some()
+    }
+
+    /// Whether anything was written.
+    pub fn wrote(&self) -> bool {
+        self.wrote.get()
+    }
+
+    /// Queues a piece, unless the connection is to end; a set-up's is marked by its session.
     pub fn push(&self, bytes: Vec<u8>, tag: Option<SessionId>) {
         if bytes.is_empty() {
             return;
@@ -103,6 +114,7 @@
     /// So many bytes were written.
     pub fn written(&self, mut n: usize) {
         let mut queue = self.queue.borrow_mut();
+        self.wrote.set(self.wrote.get() || n > 0);
         self.bytes.set(self.bytes.get().saturating_sub(n));
         n += self.offset.get();
         while let Some((bytes, _)) = queue.front()
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -165,6 +165,9 @@
         out: &mut Vec<Wish>,
     ) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
+        if c.closing {
+            return;
+        }
         c.used = now;
         c.decoder.feed(bytes);
         if c.waits.is_some() && c.decoder.held() > MOST_AHEAD {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::Command;
 
 use amberspindle::api::SessionId;
@@ -120,6 +120,19 @@
     assert_eq!(viewer.hear().unwrap()["type"], "pong");
 }
 
+/// Guards against a close that resets the connection and with it what was written before: unread input does.
+#[test]
+fn an_answer_survives_the_close_that_follows_it() {
+    let program = Program::platform(&[], LONG);
+    let mut viewer = Viewer::new(&program);
+    let mut sender = viewer.stream.try_clone().unwrap();
+    let ping = json!({"type": "ping", "id": B, "fields": {}}).to_string();
+    sender.write_all(&[ping.as_bytes(), b"\n", &vec![b'x'; 256 * 1024]].concat()).unwrap();
+    sender.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(viewer.hear().unwrap()["type"], "pong");
+    assert!(viewer.hear().is_none(), "ended, not reset");
+}
+
 #[test]
 fn what_was_taken_is_answered_after_sigterm() {
     let edge = Edge::start(Manner::Silent);
