Answer set-ups under an id in use and with figures beyond the settings

Checked: Node::said returned silently for known ids; viewer::set_up took any finite number; Broker::open asked nobody whether the server is listed. Ruled out: NaN and infinity (already no numbers to the reader).

Now each figure is checked against the settings (a viewer's time may be 1 s over its class's deadline and counts up to it); what fails is answered with a failure at once, and the connection stays. A second set-up under an id in use is failed where other set-ups are open on its connection and otherwise ends it; on the first's own connection nothing is said until the first has its single answer, then it ends. A session said to play where no listed server is, is over at once.

--- a/src/broker/guard.rs
+++ b/src/broker/guard.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Whether a server is listed and not gone.
+    pub fn runs(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|entry| entry.state != ServerState::Gone)
+    }
+
     /// The list as it is held.
     pub fn list(&self) -> Vec<ServerEntry> {
         self.servers.values().cloned().collect()
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -245,7 +245,7 @@
                 self.pending.push_back(Event::Members { kind, servers });
             }
             Input::Request(request, offer) => self.request(now, request, offer, out),
-            Input::Open(request, server) => self.open(request, server),
+            Input::Open(request, server) => self.open(request, server, out),
             Input::Left(id) => self.left(id, out),
             Input::Stands { id, server, answer } => self.stood(now, id, server, answer, out),
             Input::Over { id, server, status, load } => self.over(now, id, server, status, load, out),
@@ -349,12 +349,16 @@
         self.pending.push_back(Event::Request(request));
     }
 
-    fn open(&mut self, request: Request, server: ServerId) {
+    fn open(&mut self, request: Request, server: ServerId, out: &mut Vec<Effect>) {
         let id = request.id;
         // A client may name what is held already.
-        if self.sessions.contains_key(&id) || request.class >= self.classes.len() {
+        if self.sessions.contains_key(&id) {
             return;
         }
+        // Nothing would ever end it.
+        if request.class >= self.classes.len() || !self.guard.runs(&server) {
+            return out.push(Effect::Ended(id, Status::Reset));
+        }
         let stage = Stage::Standing { server: server.clone(), attempt: 0 };
         let history = History { attempts: 1, may_have_run: true, out: false };
         let offer = Description::from(&[][..]);
--- a/src/node.rs
+++ b/src/node.rs
@@ -58,6 +58,9 @@
     begun: Option<Micros>,
     /// It has said something whole.
     spoke: bool,
+    /// It has used the id of a session that is held already: it ends once all it waits for is answered, as an
+    /// answer of its own to the second set-up could be taken for that of the first.
+    repeats: bool,
     /// It is being closed: what it still says is not heard.
     closing: bool,
 }
@@ -83,6 +86,7 @@
 pub struct Node {
     broker: Broker,
     names: Names,
+    settings: Settings,
     links: Links,
     viewers: BTreeMap<ConnId, ViewerConn>,
     whip: Option<whip::Front>,
@@ -105,6 +109,7 @@
         Node {
             broker: Broker::new(config.settings.clone(), config.seed),
             names: config.names.clone(),
+            settings: config.settings.clone(),
             links: Links::new(config.idle, tell, see),
             viewers: BTreeMap::new(),
             whip: config.whip.as_ref().map(|w| {
@@ -334,11 +339,11 @@
             self.whip(now, out, |whip, sure, wishes| whip.bytes(now, conn, bytes, sure, wishes));
             return;
         }
-        let Some(c) = self.viewers.get_mut(&conn).filter(|c| !c.closing) else { return };
+        let Some(c) = self.viewers.get_mut(&conn).filter(|c| !c.closing && !c.repeats) else { return };
         c.viewer.feed(bytes);
         loop {
-            let Some(c) = self.viewers.get_mut(&conn) else { return };
-            match c.viewer.next(now, &self.names) {
+            let Some(c) = self.viewers.get_mut(&conn).filter(|c| !c.closing && !c.repeats) else { return };
+            match c.viewer.next(now, &self.names, &self.settings) {
                 Ok(Some(said)) => {
                     (c.used, c.begun, c.spoke) = (now, None, true);
                     self.said(now, conn, said, out);
@@ -423,7 +428,7 @@
             Said::SetUp(request, description) => {
                 let id = request.id;
                 if self.broker.knows(id) {
-                    return;
+                    return self.taken(now, conn, id, out);
                 }
                 self.homes.insert(id, conn);
                 if let Some(c) = self.viewers.get_mut(&conn) {
@@ -431,6 +436,8 @@
                 }
                 self.ask(now, request, description.into_bytes().into(), out);
             }
+            Said::Unfit(id) if self.broker.knows(id) => self.taken(now, conn, id, out),
+            Said::Unfit(id) => self.say(now, Some(conn), &viewer::failed(id), out),
             Said::Playing(request, server) => {
                 self.homes.entry(request.id).or_insert(conn);
                 self.tell(now, Input::Open(request, server.clone()), out);
@@ -439,6 +446,35 @@
         }
     }
 
+    /// A set-up under an id that is in use. The first keeps its single answer; the sender of the second is told by
+    /// a failure, or by a close where a line with that id could mean the first.
+    fn taken(&mut self, now: Micros, conn: ConnId, id: SessionId, out: &mut Vec<Command>) {
+        let own = self.homes.get(&id) == Some(&conn);
+        let Some(c) = self.viewers.get_mut(&conn) else { return };
+        if own || c.open.is_empty() {
+            c.repeats = true;
+            self.close_if_repeats(conn, out);
+        } else {
+            self.say(now, Some(conn), &viewer::failed(id), out);
+        }
+    }
+
+    /// A set-up's final answer.
+    fn reply(&mut self, now: Micros, home: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
+        self.say(now, home, line, out);
+        if let Some(conn) = home {
+            self.close_if_repeats(conn, out);
+        }
+    }
+
+    fn close_if_repeats(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        if let Some(c) = self.viewers.get_mut(&conn).filter(|c| c.repeats && !c.closing && c.open.is_empty())
+        {
+            c.closing = true;
+            out.push(Command::Close(conn, "id-in-use"));
+        }
+    }
+
     fn heard(&mut self, now: Micros, server: &ServerId, heard: Heard, out: &mut Vec<Command>) {
         let server = server.clone();
         let input = match heard {
@@ -486,10 +522,10 @@
                 let home = self.answered(now, id);
                 let line = std::str::from_utf8(&description).ok().map(|text| viewer::answer(id, text));
                 match line.filter(|line| line.encode().is_ok()) {
-                    Some(line) => self.say(now, home, &line, out),
+                    Some(line) => self.reply(now, home, &line, out),
                     None => {
                         // What can't be passed on unchanged is not passed on.
-                        self.say(now, home, &viewer::failed(id), out);
+                        self.reply(now, home, &viewer::failed(id), out);
                         self.forget(id);
                         self.tell(now, Input::Left(id), out);
                     }
@@ -498,12 +534,12 @@
             Effect::Refused(id, wait) => {
                 let home = self.answered(now, id);
                 self.forget(id);
-                self.say(now, home, &viewer::refused(id, wait), out);
+                self.reply(now, home, &viewer::refused(id, wait), out);
             }
             Effect::Failed(id, _) => {
                 let home = self.answered(now, id);
                 self.forget(id);
-                self.say(now, home, &viewer::failed(id), out);
+                self.reply(now, home, &viewer::failed(id), out);
             }
             Effect::Ended(id, status) => {
                 let home = self.homes.remove(&id);
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -1,10 +1,13 @@
 //! A viewer's connection: JSON lines in, what they ask for out; and the lines that answer them.
 
 use super::Names;
-use crate::api::{Micros, Request, Rung, ServerId, SessionId, Status, Text};
+use crate::api::{Micros, Request, Rung, ServerId, SessionId, Settings, Status, Text};
 use crate::message::line::{Decoder, Line};
 use crate::message::{Kind, Malformed, cause};
 
+/// How far what is left of a viewer's time may lie above the deadline of its class: clocks and rounding differ.
+const LEFT_SPARE: Micros = Micros(1_000_000);
+
 /// What a viewer says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
@@ -12,6 +15,8 @@
     SetUp(Request, String),
     /// It names a session that plays at a server already.
     Playing(Request, ServerId),
+    /// It asks for what the settings rule out, so that no server could use it.
+    Unfit(SessionId),
     /// It gives a set-up up, or ends its session.
     Release(SessionId),
     /// It tests the broker.
@@ -36,10 +41,18 @@
     }
 
     /// The next thing said, or none until more bytes come.
-    pub fn next(&mut self, now: Micros, names: &Names) -> Result<Option<Said>, Malformed> {
+    pub fn next(
+        &mut self,
+        now: Micros,
+        names: &Names,
+        settings: &Settings,
+    ) -> Result<Option<Said>, Malformed> {
         while let Some(line) = self.decoder.next_line()? {
             match line.kind {
-                Kind::SetUp => return set_up(line, now, names).map(Some),
+                Kind::SetUp => {
+                    let id = line.id;
+                    return Ok(Some(set_up(line, now, names, settings).unwrap_or(Said::Unfit(id))));
+                }
                 Kind::Release => return Ok(Some(Said::Release(line.id))),
                 Kind::Ping => return Ok(Some(Said::Ping(line.id))),
                 // Free: they mean nothing.
@@ -51,24 +64,25 @@
     }
 }
 
-fn set_up(line: Line, now: Micros, names: &Names) -> Result<Said, Malformed> {
+/// Reads a set-up; none if a figure is missing, can't be read, or is beyond what the settings allow.
+fn set_up(line: Line, now: Micros, names: &Names, settings: &Settings) -> Option<Said> {
     let field = |name: &str| line.fields.get(name).map(String::as_str);
     let number = |text: &str| text.trim().parse::<f64>().ok().filter(|x| x.is_finite());
-    let class = field("class").and_then(|c| Names::index(&names.classes, c)).ok_or(Malformed::BadField)?;
+    let class = field("class").and_then(|c| Names::index(&names.classes, c))?;
     let tenant = match field("tenant") {
         None => 0,
-        Some(name) => Names::index(&names.tenants, name).ok_or(Malformed::BadField)?,
+        Some(name) => Names::index(&names.tenants, name)?,
     };
     let mut request = Request::new(line.id, Text::from(field("key").unwrap_or("")), now, 0, usize::MAX);
     (request.class, request.tenant) = (class, tenant);
     let mut at = None;
-    let (mut copies, mut left) = (None, field("left").and_then(number));
+    let mut copies = None;
     for (name, value) in field("extras").unwrap_or("").split(';').filter_map(|pair| pair.split_once(':')) {
-        let whole = || value.trim().parse::<u32>().map_err(|_| Malformed::BadField);
+        let below = |end: u32| value.trim().parse::<u32>().ok().filter(|n| *n < end);
         match name.trim() {
-            "home" => request.home = whole()?,
-            "copies" => copies = Some(whole()?),
-            "top" => request.top = Rung(whole()? as usize),
+            "home" => request.home = below(settings.cells)?,
+            "copies" => copies = Some(below(settings.cells.saturating_add(1)).filter(|n| *n > 0)?),
+            "top" => request.top = Rung(below(settings.rung_kb.len() as u32)? as usize),
             "viewer" => request.viewer = Text::from(value),
             "again" => request.again = value != "0",
             "moved" | "midflow" => request.moved = value != "0",
@@ -81,12 +95,17 @@
     request.hint = field("hint").and_then(number).filter(|h| *h > 0.0);
     if let Some(server) = at {
         request.copies = copies.unwrap_or(0);
-        request.due = now + Micros::from_ms(left.take().unwrap_or(0.0));
-        return Ok(Said::Playing(request, server));
+        return Some(Said::Playing(request, server));
+    }
+    request.copies = copies?;
+    // A viewer waits as long as its class does, give or take what the way cost.
+    let left = Micros::from_ms(field("left").and_then(number)?);
+    let most = settings.classes.get(class)?.deadline;
+    if left == Micros(0) || left > most + LEFT_SPARE {
+        return None;
     }
-    request.copies = copies.ok_or(Malformed::BadField)?;
-    request.due = now + Micros::from_ms(left.ok_or(Malformed::BadField)?);
-    Ok(Said::SetUp(request, line.sdp.ok_or(Malformed::BadField)?))
+    request.due = now + left.min(most);
+    Some(Said::SetUp(request, line.sdp?))
 }
 
 /// The session stands.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -296,3 +296,70 @@
     }
     assert_eq!(world.closing(), [silent, late, spoke, plays].map(|conn| (conn, "no-room")));
 }
+
+/// Guards against figures that no server can use, or that would hold a request or a session for good: each is
+/// answered at once, and nothing is sent.
+#[test]
+fn a_set_up_with_figures_beyond_the_settings_fails_at_once() {
+    let mut world = World::new();
+    world.list("s-0", ServerState::Ready, 1);
+    let viewer = world.viewer();
+    let good = ("clip", "4000", "home:0;copies:3;top:1");
+    let bad = [
+        ("none", good.1, good.2),
+        (good.0, "0", good.2),
+        (good.0, "-5", good.2),
+        (good.0, "NaN", good.2),
+        (good.0, "inf", good.2),
+        (good.0, "1e300", good.2),
+        (good.0, "9000", good.2),
+        (good.0, "", good.2),
+        (good.0, good.1, "home:3;copies:3;top:1"),
+        (good.0, good.1, "home:-1;copies:3;top:1"),
+        (good.0, good.1, "home:0;copies:0;top:1"),
+        (good.0, good.1, "home:0;copies:4;top:1"),
+        (good.0, good.1, "home:0;top:1"),
+        (good.0, good.1, "home:0;copies:3;top:2"),
+        (good.0, good.1, "home:0;copies:3;top:99999999999999999999"),
+        (good.0, good.1, "home:0;copies:3;top:NaN"),
+    ];
+    let ask = |world: &mut World, id: u64, (class, left, extras): (&str, &str, &str)| {
+        let line = json!({"type": "setup", "id": format!("{id:016x}"), "sdp": "offer", "fields":
+            {"class": class, "left": left, "key": "k", "extras": extras}});
+        world.out.clear();
+        world.bytes(viewer, format!("{line}\n").as_bytes());
+    };
+    for (n, figures) in bad.into_iter().enumerate() {
+        ask(&mut world, n as u64, figures);
+        assert!(world.written(viewer).contains("\"cause\":47"), "{figures:?}");
+        assert_eq!((world.out.len(), world.node.held()), (1, (0, 0)), "{figures:?}");
+    }
+    ask(&mut world, 100, good);
+    assert_eq!(world.dials().len(), 1);
+    // A session said to play at a server that nobody knows would never end.
+    ask(&mut world, 101, ("clip", "0", "home:0;copies:3;top:1;at:s-7"));
+    assert!(world.written(viewer).contains("\"cause\":41"));
+    assert_eq!(world.node.held(), (1, 0));
+}
+
+/// Seen on a day with bad clients: the second set-up under one id was dropped without a word.
+#[test]
+fn a_set_up_under_an_id_in_use_is_told_so_and_the_first_keeps_its_single_answer() {
+    let mut world = World::new();
+    world.list("s-0", ServerState::Ready, 1);
+    let [first, stranger, busy] = [(); 3].map(|()| world.viewer());
+    world.ask(first);
+    let edge = world.dials()[0];
+    world.ask_as(busy, SessionId(2));
+    world.ask(stranger);
+    assert_eq!(world.closing(), [(stranger, "id-in-use")]);
+    world.ask(busy);
+    assert!(world.written(busy).contains("\"cause\":47"), "others are open there");
+    // On the first's own connection any line could be taken for the first's answer.
+    world.ask(first);
+    assert!(world.written(first).is_empty());
+    world.node.opened(world.now, edge, &mut world.out);
+    world.bytes(edge, &answer(ID, "offer").finish().unwrap());
+    assert_eq!(world.written(first).matches("\"type\"").count(), 1);
+    assert_eq!(world.closing().last(), Some(&(first, "id-in-use")));
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -144,6 +144,7 @@
 /// Whatever comes, a parser gives a message or an error; it neither panics nor keeps more than its bound.
 #[test]
 fn garbage_is_an_error_or_waits() {
+    let settings = amberspindle::api::Settings::new(vec![1.0], vec![1.0]);
     cases((garbage(), cuts()), |(bytes, cuts)| {
         let (mut packets, mut viewer, mut requests) =
             (binary::Decoder::default(), Viewer::default(), server::Decoder::default());
@@ -157,7 +158,7 @@
                 assert!(packet.cause().is_none() || packet.value(binary::code::CAUSE).is_some());
             }
             viewer.feed(piece);
-            while let Ok(Some(said)) = viewer.next(Micros(5), &Names::default()) {
+            while let Ok(Some(said)) = viewer.next(Micros(5), &Names::default(), &settings) {
                 assert!(!matches!(said, Said::SetUp(..)), "no class is known");
             }
             requests.feed(piece);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -105,7 +105,7 @@
         (&b"hello\n"[..], "bad-json"),
         (b"{\"type\":\"dance\",\"id\":\"9b1f03aa5c7e2d41\"}\n", "unknown-type"),
         (b"{\"type\":\"ping\",\"id\":\"9b\"}\n", "bad-id"),
-        (b"{\"type\":\"setup\",\"id\":\"9b1f03aa5c7e2d41\",\"fields\":{\"class\":\"none\"}}\n", "bad-field"),
+        (b"{\"type\":\"setup\",\"id\":\"9b1f03aa5c7e2d41\",\"fields\":[]}\n", "bad-field"),
         (&[b'x'; 17_000], "too-large"),
     ] {
         let mut stream = program.connect("viewer");
