--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -277,7 +277,10 @@
         // Descriptors are few: what can't be held waits in the machine's queue, while room is made.
         while shared.accepted.get() >= most {
             step(&shared, |node, now, out| node.make_room(now, out));
-            let _ = within(ROOM, async { Ok(shared.room.heard().await) }).await;
+            let look = async {
+                Timer::after(ROOM).await;
+            };
+            future::or(shared.room.heard(), look).await;
         }
         match listener.accept().await {
             Ok((stream, peer)) => {
