End a connection behind a message that can't be read and settle what is open on it once

Seen in the code and in node tests: Links::bytes read messages in a loop and left it with `?`, so a good answer that came before a broken message in the same read was dropped; the connection was then closed only once all that was queued was written, and read on meanwhile; a message that stopped short held up all behind it until time-outs; an answer without a description was passed on with an empty one, which no server made.

Ruled out: two outcomes for one set-up (the core takes the first), and a wrong proof (unsent set-ups are told by the outbox; that stays).

Now messages before the broken one count, nothing behind it is read or written, and the connection is cut at once, also while a write waits. Each set-up on it is settled by whether a byte of it was written: paid ones that may have run fail, harmless ones go again. A message unfinished for 0.4 s, an answer without a description and a release without a cause count as broken.

--- a/src/message/binary.rs
+++ b/src/message/binary.rs
@@ -83,8 +83,17 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Whether a message has begun that is not whole yet.
+    pub fn begun(&self) -> bool {
+        self.buffer.len() > self.start
+    }
+
     /// The next whole message, or none until more bytes come.
     pub fn next_packet(&mut self) -> Result<Option<Packet<'_>>, Malformed> {
+        // A connection that waits for its next message holds no memory for it.
+        if self.buffer.len() == self.start && self.buffer.capacity() > LARGEST {
+            (self.buffer, self.start) = (Vec::new(), 0);
+        }
         let bytes = &self.buffer[self.start..];
         let Some((length, rest)) = bytes.split_at_checked(2) else { return Ok(None) };
         let length = usize::from(u16::from_be_bytes([length[0], length[1]]));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -144,6 +144,11 @@
                     outbox.close(reason);
                 }
             }
+            Command::Cut(conn, reason) => {
+                if let Some(outbox) = shared.boxes.borrow().get(&conn) {
+                    outbox.cut(reason);
+                }
+            }
         }
     }
     shared.bell.ring();
@@ -184,7 +189,7 @@
             }
         }
     };
-    future::or(write, read).await
+    future::or(outbox.was_cut(), future::or(write, read)).await
 }
 
 /// Ends a client's connection so that an answer on its way is not destroyed: closing a socket with unread input
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -50,6 +50,9 @@
     offset: Cell<usize>,
     bytes: Cell<usize>,
     closing: Cell<Option<&'static str>>,
+    /// Nothing more is written, whatever is queued.
+    cut: Cell<bool>,
+    cut_bell: Bell,
     wrote: Cell<bool>,
     bell: Bell,
 }
@@ -74,11 +77,24 @@
         self.queue.borrow_mut().push_back((bytes, tag));
         if self.bytes.get() > MOST_BYTES {
             // The peer does not read: nothing more will reach it in time.
-            self.closing.set(Some("overflow"));
+            self.cut("overflow");
         }
         self.bell.ring();
     }
 
+    /// Ends the connection at once.
+    pub fn cut(&self, reason: &'static str) {
+        self.close(reason);
+        self.cut.set(true);
+        self.cut_bell.ring();
+    }
+
+    /// Waits until the connection is to end at once, also while a write waits for the peer; gives the reason.
+    pub async fn was_cut(&self) -> &'static str {
+        self.cut_bell.heard().await;
+        self.closing.get().unwrap_or_default()
+    }
+
     /// Ends the connection once all is written.
     pub fn close(&self, reason: &'static str) {
         if self.closing.get().is_none() {
@@ -90,12 +106,10 @@
     /// Waits until there is something to write; a reason ends the connection instead.
     pub async fn ready(&self) -> Option<&'static str> {
         loop {
-            let over = self.bytes.get() > MOST_BYTES;
-            if !over && !self.queue.borrow().is_empty() {
-                return None;
-            }
-            if let Some(reason) = self.closing.get() {
-                return Some(reason);
+            match self.closing.get() {
+                Some(reason) if self.cut.get() || self.queue.borrow().is_empty() => return Some(reason),
+                _ if !self.queue.borrow().is_empty() => return None,
+                _ => {}
             }
             self.bell.heard().await;
         }
@@ -155,4 +169,17 @@
         outbox.written(10);
         assert!(outbox.unsent().is_empty());
     }
+
+    /// Guards against a set-up that is written on a connection that is already given up.
+    #[test]
+    fn what_is_queued_is_written_before_a_close_and_not_before_a_cut() {
+        let outbox = Outbox::default();
+        outbox.push(vec![1; 10], Some(SessionId(1)));
+        outbox.close("done");
+        assert_eq!(futures_lite::future::block_on(outbox.ready()), None);
+        outbox.cut("bad-length");
+        assert_eq!(futures_lite::future::block_on(outbox.ready()), Some("done"));
+        assert_eq!(futures_lite::future::block_on(outbox.was_cut()), "done");
+        assert_eq!(outbox.unsent(), [SessionId(1)]);
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -168,6 +168,7 @@
             self.look_at = now + LOOK_EVERY;
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
+            self.links.tick(now, out);
             let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
             for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
                 if let Some(reason) = c.overdue(now) {
@@ -325,13 +326,9 @@
     /// Bytes came on a connection.
     pub fn bytes(&mut self, now: Micros, conn: ConnId, bytes: &[u8], out: &mut Vec<Command>) {
         if self.links.has(conn) {
-            match self.links.bytes(now, conn, bytes) {
-                Ok((server, heard)) => {
-                    for heard in heard {
-                        self.heard(now, &server, heard, out);
-                    }
-                }
-                Err(error) => out.push(Command::Close(conn, error.code())),
+            let (server, heard) = self.links.bytes(now, conn, bytes, out);
+            for heard in heard {
+                self.heard(now, &server, heard, out);
             }
             return;
         }
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -19,6 +19,9 @@
 /// How much later than due a server's notes may come before its connection is taken to be dead.
 const NOTES_SPARE: Micros = Micros(500_000);
 
+/// A message that stopped short for so long is not going on: servers write each in one piece.
+const UNFINISHED: Micros = Micros(400_000);
+
 /// Time between checks of one server.
 const CHECK_EVERY: Micros = Micros(500_000);
 /// A server that turns connections down and was not heard of for so long is lost, whatever the list says: the
@@ -34,6 +37,8 @@
     Write(ConnId, Vec<u8>, Option<SessionId>),
     /// Write out what is queued, then close, leaving a log line with this reason.
     Close(ConnId, &'static str),
+    /// Close at once: what is queued is not written any more.
+    Cut(ConnId, &'static str),
 }
 
 /// What an edge server says.
@@ -97,6 +102,10 @@
     server: ServerId,
     open: bool,
     suspect: bool,
+    /// It brought what can't be read: nothing more is read or written there.
+    broken: bool,
+    /// When the message began that is not whole yet.
+    begun: Option<Micros>,
     /// Waits for the connection to come up.
     queue: Vec<(Option<SessionId>, Vec<u8>)>,
     /// Set-ups that wait for an answer, and when they were written.
@@ -133,6 +142,34 @@
     }
 }
 
+impl Link {
+    /// Reads the messages that are whole.
+    fn read(&mut self, heard: &mut Vec<Heard>) -> Result<(), Malformed> {
+        while let Some(packet) = self.decoder.next_packet()? {
+            let id = packet.id;
+            match packet.kind {
+                Kind::Answer => {
+                    // An answer without its description is not whole, and no other may stand in for it.
+                    let description = packet.value(code::DESCRIPTION).filter(|d| !d.is_empty());
+                    let description = Description::from(description.ok_or(Malformed::BadField)?);
+                    self.set_ups.remove(&id);
+                    heard.push(Heard::Answer(id, description));
+                }
+                Kind::Release => {
+                    let cause = packet.cause().ok_or(Malformed::BadField)?;
+                    self.set_ups.remove(&id);
+                    let load = packet.text(code::LOAD).map(load_report).unwrap_or_default();
+                    heard.push(Heard::Release(id, cause, load));
+                }
+                Kind::Note => heard.extend(note(&packet).map(|note| Heard::Note(id, note))),
+                Kind::Progress | Kind::Released | Kind::Pong | Kind::Ping | Kind::Move | Kind::Rate => {}
+                Kind::SetUp => return Err(Malformed::UnknownType),
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Links {
     /// No connections yet. Idle ones are closed by servers after `idle`; servers with sessions send notes each
     /// `tell`, late by `see`.
@@ -183,6 +220,7 @@
         let good = |l: &Link| {
             l.server == *server
                 && !l.suspect
+                && !l.broken
                 && (!l.open || self.idle == Micros(0) || now - l.used.max(l.heard) + IDLE_SPARE < self.idle)
         };
         self.links.iter().filter(|(_, l)| good(l)).max_by_key(|(id, l)| (l.open, **id)).map(|(id, _)| *id)
@@ -329,39 +367,39 @@
         }
     }
 
-    /// Takes bytes of a connection in.
+    /// Takes bytes of a connection in; gives what was heard. Behind what can't be read nothing more is, and the
+    /// connection ends.
     pub fn bytes(
         &mut self,
         now: Micros,
         conn: ConnId,
         bytes: &[u8],
-    ) -> Result<(ServerId, Vec<Heard>), Malformed> {
-        let Some(link) = self.links.get_mut(&conn) else { return Ok((ServerId::default(), Vec::new())) };
+        out: &mut Vec<Command>,
+    ) -> (ServerId, Vec<Heard>) {
+        let mut heard = Vec::new();
+        let Some(link) = self.links.get_mut(&conn).filter(|l| !l.broken) else {
+            return (ServerId::default(), heard);
+        };
         (link.heard, link.suspect) = (now, false);
         self.alive.insert(link.server.clone(), now);
         link.decoder.feed(bytes);
-        let mut heard = Vec::new();
-        while let Some(packet) = link.decoder.next_packet()? {
-            let id = packet.id;
-            match packet.kind {
-                Kind::Answer => {
-                    link.set_ups.remove(&id);
-                    let description = packet.value(code::DESCRIPTION).unwrap_or_default();
-                    heard.push(Heard::Answer(id, Description::from(description)));
-                }
-                Kind::Release => {
-                    link.set_ups.remove(&id);
-                    let load = packet.text(code::LOAD).map(load_report).unwrap_or_default();
-                    heard.push(Heard::Release(id, packet.cause().unwrap_or(cause::RESET), load));
-                }
-                Kind::Note => heard.extend(note(&packet).map(|note| Heard::Note(id, note))),
-                Kind::Progress | Kind::Released | Kind::Pong | Kind::Ping | Kind::Move | Kind::Rate => {}
-                Kind::SetUp => return Err(Malformed::UnknownType),
-            }
+        if let Err(error) = link.read(&mut heard) {
+            link.broken = true;
+            out.push(Command::Cut(conn, error.code()));
         }
-        Ok((link.server.clone(), heard))
+        link.begun = if link.decoder.begun() { link.begun.or(Some(now)) } else { None };
+        (link.server.clone(), heard)
     }
 
+    /// Ends connections on which a message stopped short: what is behind it would never be heard.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        for (conn, link) in &mut self.links {
+            if !link.broken && link.begun.is_some_and(|at| now - at >= UNFINISHED) {
+                link.broken = true;
+                out.push(Command::Cut(*conn, "unfinished"));
+            }
+        }
+    }
     /// A connection has ended.
     pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed) -> Option<Broken> {
         let link = self.links.remove(&conn)?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,7 +5,8 @@
 use amberspindle::api::{ListKind, Micros, ServerEntry, ServerId, ServerState, SessionId};
 use amberspindle::board::{Listed, News};
 use amberspindle::config::Config;
-use amberspindle::message::cause;
+use amberspindle::message::binary::{Builder, code};
+use amberspindle::message::{Kind, cause};
 use amberspindle::node::{Front, Node};
 use amberspindle::platform::links::{Closed, Command, ConnId};
 use serde_json::json;
@@ -91,8 +92,16 @@
     }
 
     fn ask_as(&mut self, conn: ConnId, id: SessionId) {
+        self.ask_of(conn, id, "clip");
+    }
+
+    fn ask_paid(&mut self, conn: ConnId, id: SessionId) {
+        self.ask_of(conn, id, "paid");
+    }
+
+    fn ask_of(&mut self, conn: ConnId, id: SessionId, class: &str) {
         let line = json!({"type": "setup", "id": format!("{:016x}", id.0), "sdp": "offer", "fields":
-            {"class": "clip", "left": 4000, "key": "k", "extras": "home:0;copies:3;top:1"}});
+            {"class": class, "left": 4000, "key": "k", "extras": "home:0;copies:3;top:1"}});
         self.bytes(conn, format!("{line}\n").as_bytes());
     }
 
@@ -112,7 +121,7 @@
     fn closing(&self) -> Vec<(ConnId, &'static str)> {
         let close = |c: &Command| match c {
             Command::Close(conn, reason) => Some((*conn, *reason)),
-            Command::Dial(..) | Command::Write(..) => None,
+            Command::Dial(..) | Command::Write(..) | Command::Cut(..) => None,
         };
         self.out.iter().filter_map(close).collect()
     }
@@ -363,3 +372,53 @@
     assert_eq!(world.written(first).matches("\"type\"").count(), 1);
     assert_eq!(world.closing().last(), Some(&(first, "id-in-use")));
 }
+
+/// Guards against what a broken message takes along: messages before it in the same read were dropped, and the
+/// set-ups behind it waited for answers that could not come. Each is settled once.
+#[test]
+fn behind_what_can_not_be_read_nothing_is_read_and_all_is_settled_once() {
+    let mut world = World::new();
+    world.list("s-0", ServerState::Ready, 1);
+    let viewer = world.viewer();
+    world.ask(viewer);
+    world.ask_paid(viewer, SessionId(2));
+    world.ask_as(viewer, SessionId(3));
+    let edge = world.dials()[0];
+    world.node.opened(world.now, edge, &mut world.out);
+    world.out.clear();
+    let good = |id| answer(id, "offer").finish().unwrap();
+    world.bytes(edge, &[good(ID), vec![0, 3, 9, 9, 9], good(SessionId(2))].concat());
+    assert_eq!(world.written(viewer).matches("answer").count(), 1, "what came before it counts");
+    assert!(world.out.contains(&Command::Cut(edge, "bad-length")));
+    world.out.clear();
+    world.bytes(edge, &good(SessionId(3)));
+    assert!(world.out.is_empty(), "nothing more is read there");
+    world.closed(edge, &UNSENT);
+    let written = world.written(viewer);
+    assert!(written.contains("\"cause\":47") && written.contains("0000000000000002"), "paid may have run");
+    assert_eq!(world.dials().len(), 1, "harmless goes again, on a new connection");
+    assert_eq!(world.node.held(), (1, 1));
+}
+
+/// Guards against an answer that is cut short: it holds up all that is behind it.
+#[test]
+fn a_message_that_stops_short_and_an_answer_with_nothing_in_it_break_their_connection() {
+    let mut world = World::new();
+    world.list("s-0", ServerState::Ready, 1);
+    let viewer = world.viewer();
+    world.ask(viewer);
+    let edge = world.dials()[0];
+    world.node.opened(world.now, edge, &mut world.out);
+    let whole = answer(ID, "offer").finish().unwrap();
+    world.bytes(edge, &whole[..whole.len() - 1]);
+    world.pass(300);
+    assert!(!world.out.contains(&Command::Cut(edge, "unfinished")));
+    world.pass(500);
+    assert!(world.out.contains(&Command::Cut(edge, "unfinished")));
+    world.closed(edge, &UNSENT);
+    let next = world.dials()[0];
+    world.node.opened(world.now, next, &mut world.out);
+    world.bytes(next, &Builder::new(Kind::Answer, ID).with(code::DESCRIPTION, b"").finish().unwrap());
+    assert!(world.out.contains(&Command::Cut(next, "bad-field")));
+    assert!(!world.written(viewer).contains("answer"));
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -170,7 +170,8 @@
             let _ = reader.feed(piece, &mut body);
             let _ = events.feed(piece);
             let _ = board.bytes(piece);
-            assert!(links.bytes(Micros(5), ConnId(1), piece).is_ok(), "an unknown connection says nothing");
+            let heard = links.bytes(Micros(5), ConnId(1), piece, &mut Vec::new()).1;
+            assert!(heard.is_empty(), "an unknown connection says nothing");
         });
         let text = String::from_utf8_lossy(&bytes);
         let _ = load_report(&text);
