Release only attempts that this broker gave up when they answer late

Checked: Broker::stood answered every answer that nobody waits for with a release, also a second copy and one under an id it never had, and a release cuts the session of that id. Ruled out: answers of sessions that stand here (they were left alone).

Now attempts that are given up are remembered for 30 s; only those are released, once. The test fails without it.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -30,6 +30,9 @@
 /// A session description, passed on unchanged.
 pub type Description = Arc<[u8]>;
 
+/// A late answer to an attempt that was given up is released if it comes within this.
+const LATE: Micros = Micros(30_000_000);
+
 /// How much later an overdue answer is given by the core itself, should the module have kept silent.
 const LAST_CALL: Micros = Micros(5_000);
 
@@ -163,6 +166,8 @@
     Module(u64),
     Attempt(SessionId, u32),
     LastCall(SessionId),
+    /// An attempt that was given up is forgotten.
+    Forget(SessionId, ServerId),
 }
 
 /// The core of one playback broker.
@@ -174,6 +179,8 @@
     classes: Vec<crate::api::Effect>,
     cap: u32,
     sessions: BTreeMap<SessionId, Session>,
+    /// Attempts of this broker that were given up, and until when a late answer to them is expected.
+    given_up: BTreeMap<(SessionId, ServerId), Micros>,
     alarms: BTreeSet<(Micros, Alarm)>,
     pending: VecDeque<Event>,
 }
@@ -195,6 +202,7 @@
             classes,
             cap,
             sessions: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             alarms: BTreeSet::new(),
             pending: VecDeque::new(),
         }
@@ -382,6 +390,9 @@
         s.stage = Stage::Waiting;
         s.history.ended(status);
         out.push(Effect::GiveUp(id, server.clone()));
+        let until = now + LATE;
+        self.given_up.insert((id, server.clone()), until);
+        self.alarms.insert((until, Alarm::Forget(id, server.clone())));
         let (took, load) = (now - sent, Load::default());
         self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
     }
@@ -424,8 +435,9 @@
             s.history.ended(Status::Completed);
             out.push(Effect::Plays(id, answer));
             self.pending.push_back(Event::First { id, attempt, server: at, took: now - sent });
-        } else if !self.stands(id, &at) {
-            // A late answer of an attempt that was given up: nobody waits for it, and it must not play on.
+        } else if !self.stands(id, &at) && self.given_up.remove(&(id, at.clone())).is_some() {
+            // A late answer to an attempt that was given up: nobody waits for it, and it must not play on. Other
+            // answers, as second copies or under ids of others, may concern sessions that stand elsewhere.
             out.push(Effect::Cut(id, at));
         }
     }
@@ -478,6 +490,11 @@
                     self.drop_attempt(now, id, Status::TimedOut, false, out);
                 }
             }
+            Alarm::Forget(id, server) => {
+                if self.given_up.get(&(id, server.clone())).is_some_and(|until| *until <= now) {
+                    self.given_up.remove(&(id, server));
+                }
+            }
             Alarm::LastCall(id) => {
                 // No request may be left without its answer, even if the module forgot it.
                 let owed = self.sessions.get(&id).is_some_and(|s| !matches!(s.stage, Stage::Standing { .. }));
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -309,3 +309,25 @@
     assert!(owed.is_empty(), "no answer: {owed:?}");
     assert!(panics > 10 && answered.len() > 200, "{panics} {}", answered.len());
 }
+
+/// Seen on days with bad peers: answers come twice, or under ids that nobody asked for. Each was answered with a
+/// release, which ends the session of that id wherever it stands.
+#[test]
+fn only_attempts_that_were_given_up_are_released_when_they_answer_late() {
+    let mut core = Core::new(3);
+    let set_up = sent(&core.ask(1, CLIP)).remove(0);
+    assert!(core.stands(99, &set_up.server).is_empty(), "a stranger's id");
+    core.stands(1, &set_up.server);
+    assert!(core.stands(1, &set_up.server).is_empty(), "a second copy");
+    core.over(1, &set_up.server, Status::Completed);
+    assert!(core.stands(1, &set_up.server).is_empty(), "a second copy, late");
+    // One that was given up is released, once, and remembered for a while only.
+    for id in [2, 3] {
+        let set_up = sent(&core.ask(id, PAID)).remove(0);
+        core.tell(Input::Left(SessionId(id)));
+        core.pass(ms(29_000 + 2000 * (id - 2)));
+        let late = core.stands(id, &set_up.server);
+        assert_eq!(late.len(), usize::from(id == 2), "{late:?}");
+        assert!(core.stands(id, &set_up.server).is_empty());
+    }
+}
