Fail tests from the moment that the log tells of the stop

Seen: what_was_taken_is_answered_after_sigterm failed once in five runs on one core: a test passed after the log had said 'stopping'. The signal is heard in a task of its own since SIGHUP is; that task wrote the line, and the node was told in another, a turn later. Now the node is told first.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -402,6 +402,8 @@
         match signal {
             Ok(Signal::Hup) => reload(&shared, &mut config, reread()),
             other => {
+                // Tests fail from the moment that the log tells of it.
+                shared.node.borrow_mut().stop();
                 log(&format!("stopping signal={other:?}"));
                 stop.ring();
             }
@@ -497,7 +499,6 @@
     let stop = async {
         stopping.heard().await;
         let asked = shared.now();
-        shared.node.borrow_mut().stop();
         leave.ring();
         Timer::after(micros(STILL_COMING)).await;
         drop(fronts);
