Count a notice as heard once it could be read, and ask for missing ones

Seen in the code: Board::notice set the number before it looked for the targets, an event that is no JSON was skipped without a word, a target that can't be read was left out, and any later number was taken.

Now an event counts behind the one before it and once every line of it could be read; else the board is asked again from the last one. What came before it in the same read counts. A whole list makes up for all that was missed. After four askings for the same event the board is taken at its word, so that the list does not stand still for good. A new configuration's `known` never leaps over an event. A server that is gone needs no address.

--- a/src/board.rs
+++ b/src/board.rs
@@ -1,7 +1,8 @@
 //! The notice board: numbered events that change the list of servers, read as server-sent events. A state
 //! machine of bytes; the driver opens the connection and keeps the time.
 
-use std::net::SocketAddr;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use serde_json::Value;
 
@@ -16,6 +17,45 @@
 /// A board that doesn't accept a connection within this is tried again.
 pub const CONNECT: Micros = Micros(400_000);
 
+/// After so many askings for the same event a board is taken at its word: what can't be read is left out.
+const ASKINGS: u32 = 4;
+
+/// Why a board is asked again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BoardError {
+    /// What it says is no HTTP.
+    Http(HttpError),
+    /// An event can't be read.
+    Unreadable,
+    /// Events before this one were missed.
+    Gap,
+}
+
+impl BoardError {
+    /// The reason code of the log line.
+    pub fn code(self) -> &'static str {
+        match self {
+            BoardError::Http(error) => error.code(),
+            BoardError::Unreadable => "unreadable-event",
+            BoardError::Gap => "gap",
+        }
+    }
+}
+
+impl fmt::Display for BoardError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+impl std::error::Error for BoardError {}
+
+impl From<HttpError> for BoardError {
+    fn from(error: HttpError) -> BoardError {
+        BoardError::Http(error)
+    }
+}
+
 /// A line of the list with its address.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -39,23 +79,30 @@
 pub struct Board {
     names: Names,
     last: u64,
+    /// Askings since an event was taken in that found one missing or broken.
+    troubled: u32,
     stream: Option<(client::Reader, sse::Decoder)>,
 }
 
 impl Board {
     /// Takes in the events of the start.
     pub fn new(names: Names, known: &Value) -> (Board, Vec<News>) {
-        let mut board = Board { names, last: 0, stream: None };
-        let news = board.known(known);
+        let mut board = Board { names, last: 0, troubled: 0, stream: None };
+        let news = board.take(known, true);
         board.last = known.get("rev").and_then(Value::as_u64).unwrap_or(board.last);
         (board, news)
     }
 
-    /// Takes in the events of a configuration, but for those that were heard before: the list is never wound
-    /// back.
+    /// Takes in the events of a new configuration, but for those that were heard before: the list is never wound
+    /// back. Behind one that is missing the board itself is asked.
     pub fn known(&mut self, known: &Value) -> Vec<News> {
+        self.take(known, false)
+    }
+
+    fn take(&mut self, known: &Value, anyway: bool) -> Vec<News> {
         let notices = known.get("notices").and_then(Value::as_array);
-        notices.into_iter().flatten().filter_map(|n| self.notice(n, None)).collect()
+        let read = |n: &Value| self.notice(n, None, anyway).ok().flatten();
+        notices.into_iter().flatten().filter_map(read).collect()
     }
 
     /// The number of the last event that was taken in.
@@ -71,40 +118,69 @@
         client::request("GET", host, "/board/poll", &headers, None)
     }
 
-    /// Takes bytes of the connection in. An error ends it.
-    pub fn bytes(&mut self, bytes: &[u8]) -> Result<Vec<News>, HttpError> {
-        let Some((reader, events)) = &mut self.stream else { return Ok(Vec::new()) };
+    /// Takes bytes of the connection in and hands over what is new, also before an error, which ends the
+    /// connection: the board is then asked again from the last event that was read.
+    pub fn bytes(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BoardError> {
+        let Some((reader, events)) = &mut self.stream else { return Ok(()) };
         let mut body = Vec::new();
-        reader.feed(bytes, &mut body)?;
+        let read = reader.feed(bytes, &mut body);
         if reader.status().is_some_and(|s| s != 200) {
-            return Err(HttpError::BadHead);
+            return Err(HttpError::BadHead.into());
         }
-        let events = events.feed(&body)?;
-        let mut news = Vec::new();
-        for event in events {
-            let Ok(value) = serde_json::from_str::<Value>(&event.data) else { continue };
+        let mut whole = Vec::new();
+        let told = events.feed(&body, &mut whole);
+        for event in whole {
             let number = event.id.and_then(|id| id.trim().parse().ok());
-            news.extend(self.notice(&value, number));
+            let value = serde_json::from_str::<Value>(&event.data).unwrap_or(Value::Null);
+            match self.notice(&value, number, self.troubled >= ASKINGS) {
+                Ok(told) => news.extend(told),
+                Err(error) => {
+                    self.troubled += 1;
+                    self.stream = None;
+                    return Err(error);
+                }
+            }
         }
-        Ok(news)
+        read.and(told).map_err(BoardError::from)
     }
 
-    /// Takes one event in, unless it was heard before.
-    fn notice(&mut self, value: &Value, number: Option<u64>) -> Option<News> {
-        let number = number.or_else(|| value.get("rev").and_then(Value::as_u64))?;
+    /// Takes one event in, unless it was heard before. It counts as heard only once it could be read, and only
+    /// behind the one before it; `anyway`, as far as it can be read.
+    fn notice(
+        &mut self,
+        value: &Value,
+        number: Option<u64>,
+        anyway: bool,
+    ) -> Result<Option<News>, BoardError> {
+        let number = number.or_else(|| value.get("rev").and_then(Value::as_u64));
+        let Some(number) = number else { return if anyway { Ok(None) } else { Err(BoardError::Unreadable) } };
         if number <= self.last {
-            return None;
+            return Ok(None);
         }
-        self.last = number;
         let pool = value.get("pool").unwrap_or(value);
         let all = pool.get("all").and_then(Value::as_bool).unwrap_or(false);
-        let targets = pool.get("targets").and_then(Value::as_array)?;
-        let servers = targets.iter().filter_map(|t| listed(t, &self.names)).collect();
-        Some(News { kind: if all { ListKind::Complete } else { ListKind::Changes }, servers })
+        let targets = pool.get("targets").and_then(Value::as_array);
+        let servers: Option<Vec<Listed>> =
+            targets.and_then(|targets| targets.iter().map(|t| listed(t, &self.names)).collect());
+        let servers = match servers {
+            Some(servers) => servers,
+            None if anyway => targets.into_iter().flatten().filter_map(|t| listed(t, &self.names)).collect(),
+            None => return Err(BoardError::Unreadable),
+        };
+        // A whole list makes up for all that was missed before it.
+        if number > self.last + 1 && !all && !anyway {
+            return Err(BoardError::Gap);
+        }
+        (self.last, self.troubled) = (number, 0);
+        if targets.is_none() {
+            return Ok(None);
+        }
+        let kind = if all { ListKind::Complete } else { ListKind::Changes };
+        Ok(Some(News { kind, servers }))
     }
 }
 
-/// Reads one line; a line that can't be read is skipped, as nothing may be sent there.
+/// Reads one line, if it can be read.
 pub fn listed(target: &Value, names: &Names) -> Option<Listed> {
     let text = |key: &str| target.get(key).and_then(Value::as_str);
     let number = |key: &str| target.get(key).and_then(Value::as_f64).filter(|x| x.is_finite());
@@ -121,5 +197,8 @@
     entry.kind = index(&names.kinds, "model");
     entry.weight = number("capacity_hint").filter(|w| *w > 0.0).unwrap_or(1.0);
     entry.up_since = number("boot_ms").filter(|b| *b > 0.0).map(Micros::from_ms);
-    Some(Listed { entry, address: text("endpoint")?.parse().ok()? })
+    // Nothing is sent to one that is gone, wherever it was.
+    let nowhere = (state == ServerState::Gone).then_some((Ipv4Addr::UNSPECIFIED, 0).into());
+    let address = text("endpoint").and_then(|endpoint| endpoint.parse().ok()).or(nowhere)?;
+    Some(Listed { entry, address })
 }
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -23,10 +23,10 @@
 }
 
 impl Decoder {
-    /// Takes bytes in; gives the events that are whole. Comments and unknown fields are skipped.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, HttpError> {
+    /// Takes bytes in and hands over the events that are whole, also those before an error. Comments and unknown
+    /// fields are skipped.
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), HttpError> {
         self.buffer.extend_from_slice(bytes);
-        let mut events = Vec::new();
         let mut at = 0;
         while let Some(end) = self.buffer[at..].iter().position(|b| *b == b'\n') {
             let line = &self.buffer[at..at + end];
@@ -60,6 +60,6 @@
         if self.buffer.len() > LARGEST_EVENT + LARGEST_HEAD {
             return Err(HttpError::BodyTooLarge);
         }
-        Ok(events)
+        Ok(())
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -333,7 +333,7 @@
         };
         let stay = async {
             match follow_once(&shared, address).await {
-                Ok(()) => end("end-of-stream"),
+                Ok(reason) => end(reason),
                 Err(error) => end(code(&error)),
             }
             Timer::after(micros(board::RETRY)).await;
@@ -343,7 +343,8 @@
     }
 }
 
-async fn follow_once(shared: &Handle, address: SocketAddr) -> io::Result<()> {
+/// Follows the board on one connection; gives why it ended.
+async fn follow_once(shared: &Handle, address: SocketAddr) -> io::Result<&'static str> {
     let mut stream = within(micros(board::CONNECT), Async::<TcpStream>::connect(address)).await?;
     let request = shared.board.borrow_mut().request(&address.to_string());
     stream.write_all(&request).await?;
@@ -351,12 +352,16 @@
     loop {
         let n = within(micros(board::SILENCE), stream.read(&mut buffer)).await?;
         if n == 0 {
-            return Ok(());
+            return Ok("end-of-stream");
         }
-        let news = shared.board.borrow_mut().bytes(&buffer[..n]);
-        for news in news.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))? {
+        let mut news = Vec::new();
+        let read = shared.board.borrow_mut().bytes(&buffer[..n], &mut news);
+        for news in news {
             step(shared, |node, now, out| node.news(now, news, out));
         }
+        if let Err(error) = read {
+            return Ok(error.code());
+        }
     }
 }
 
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -133,7 +133,7 @@
         let text = |(id, data): &(u32, String)| format!(": alive\r\nid: {id}\ndata: {data}\nother\n\n");
         let bytes: Vec<u8> = events.iter().flat_map(|e| text(e).into_bytes()).collect();
         let (mut decoder, mut read) = (sse::Decoder::default(), Vec::new());
-        cut(&bytes, &cuts, |piece| read.extend(decoder.feed(piece).unwrap()));
+        cut(&bytes, &cuts, |piece| decoder.feed(piece, &mut read).unwrap());
         let read: Vec<(String, String)> = read.into_iter().map(|e| (e.id.unwrap(), e.data)).collect();
         let sent: Vec<(String, String)> =
             events.into_iter().map(|(id, data)| (id.to_string(), data)).collect();
@@ -168,8 +168,8 @@
             }
             let mut body = Vec::new();
             let _ = reader.feed(piece, &mut body);
-            let _ = events.feed(piece);
-            let _ = board.bytes(piece);
+            let _ = events.feed(piece, &mut Vec::new());
+            let _ = board.bytes(piece, &mut Vec::new());
             let heard = links.bytes(Micros(5), ConnId(1), piece, &mut Vec::new()).1;
             assert!(heard.is_empty(), "an unknown connection says nothing");
         });
