--- a/src/brain.rs
+++ b/src/brain.rs
@@ -132,6 +132,12 @@
         }
     }
 
+    /// Servers, sessions or titles that are remembered, whichever are the most.
+    pub fn size(&self) -> usize {
+        let book = &self.book;
+        book.servers.len().max(book.names.len()).max(book.sessions.len()).max(book.titles.len())
+    }
+
     // ---- The fleet: list, health, cold pace ----
 
     fn members(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
@@ -141,8 +147,9 @@
         }
         if matches!(kind, ListKind::Complete | ListKind::Stale) {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.id.clone()).collect();
-            for server in self.book.servers.iter_mut().filter(|s| !named.contains(&s.entry.id)) {
-                server.entry.state = ServerState::Gone;
+            let left = |s: &&mut Server| s.entry.state != ServerState::Gone && !named.contains(&s.entry.id);
+            for server in self.book.servers.iter_mut().filter(left) {
+                (server.entry.state, server.gone_at) = (ServerState::Gone, self.book.now);
             }
         }
         entries.into_iter().for_each(|entry| self.listed(entry));
@@ -152,12 +159,14 @@
 
     fn listed(&mut self, entry: ServerEntry) {
         let cold_until = entry.up_since.map_or(Micros(0), |at| at + self.set.cold);
-        let next = self.book.servers.len();
-        let i = *self.book.names.entry(entry.id.clone()).or_insert(next);
-        if i == next {
+        if !self.book.names.contains_key(&entry.id) {
+            if entry.state == ServerState::Gone {
+                return;
+            }
             let (link, entry) = (Gauge::default(), entry.clone());
-            self.book.servers.push(Server { link, entry, cold_until, ..Server::default() });
+            self.book.place(Server { link, entry, cold_until, ..Server::default() });
         }
+        let Some(&i) = self.book.names.get(&entry.id) else { return };
         let server = &mut self.book.servers[i];
         if entry.up_since > server.entry.up_since {
             // A new start: what was known of the old process says nothing about this one.
@@ -168,7 +177,7 @@
         }
         server.rack = (entry.cell % self.set.racks.max(1)) as usize;
         server.link.kb = (self.set.link_unit_kb * entry.weight).max(1.0);
-        server.entry = entry;
+        (server.entry, server.gone_at) = (entry, self.book.now);
     }
 
     /// Health: a time-out, a broken or refused connection, or a standstill draws distrust whatever the list
--- a/src/broker/guard.rs
+++ b/src/broker/guard.rs
@@ -33,16 +33,26 @@
     /// Takes news of the list in.
     pub fn listed(&mut self, kind: ListKind, servers: &[ServerEntry]) {
         if matches!(kind, ListKind::Complete | ListKind::Stale) {
-            self.servers.values_mut().for_each(|entry| entry.state = ServerState::Gone);
+            self.servers.clear();
         }
+        // What is gone is not remembered: nothing may be sent to a server that is not there.
         for entry in servers {
-            self.servers.insert(entry.id.clone(), entry.clone());
+            if entry.state == ServerState::Gone {
+                self.servers.remove(&entry.id);
+            } else {
+                self.servers.insert(entry.id.clone(), entry.clone());
+            }
         }
     }
 
+    /// Servers that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Whether a server is listed and not gone.
     pub fn runs(&self, server: &ServerId) -> bool {
-        self.servers.get(server).is_some_and(|entry| entry.state != ServerState::Gone)
+        self.servers.contains_key(server)
     }
 
     /// The list as it is held.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -16,12 +16,21 @@
 pub trait Decide {
     /// Takes one event in and appends what is to be done, in order.
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+
+    /// Servers, sessions or titles that are remembered, whichever are the most.
+    fn remembered(&self) -> usize {
+        0
+    }
 }
 
 impl Decide for Brain {
     fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.handle(now, event, out);
     }
+
+    fn remembered(&self) -> usize {
+        self.size()
+    }
 }
 
 /// Makes a module from a seed: one at the start, and one more after each that panicked.
@@ -239,6 +248,12 @@
         self.sessions.len() - self.unanswered()
     }
 
+    /// What is remembered, at its fullest place: to be watched where ids come and go all day.
+    pub fn remembered(&self) -> usize {
+        let own = [self.sessions.len(), self.given_up.len(), self.alarms.len(), self.guard.remembered()];
+        own.into_iter().chain([self.module.remembered()]).max().unwrap_or(0)
+    }
+
     /// Whether any session stands at a server.
     pub fn stands_any(&self, at: &ServerId) -> bool {
         let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
--- a/src/node.rs
+++ b/src/node.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
+    pub fn remembered(&self) -> usize {
+        let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
+        let others = [self.links.remembered(), self.links.len(), self.broker.remembered()];
+        own.into_iter().chain(others).max().unwrap_or(0)
+    }
+
     /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -278,6 +285,10 @@
         if news.kind == ListKind::Complete {
             let named: BTreeSet<&ServerId> = news.servers.iter().map(|l| &l.entry.id).collect();
             lost.extend(self.servers.keys().filter(|id| !named.contains(id)).cloned());
+            for id in &lost {
+                self.servers.remove(id);
+                self.links.forget(id);
+            }
         }
         for listed in &news.servers {
             let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
@@ -285,6 +296,9 @@
             // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
             // reset its connections: they may stay open and silent.
             let before = self.servers.insert(id.clone(), (state, up));
+            if state == ServerState::Gone {
+                self.servers.remove(id);
+            }
             if state == ServerState::Gone || before.is_some_and(|(_, before)| up > before) {
                 lost.push(id.clone());
             }
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -185,7 +185,8 @@
     pub fn listed(&mut self, server: &ServerId, address: SocketAddr, state: ServerState) -> Option<ServerId> {
         let before = self.addresses.iter().find(|(s, a)| *s != server && **a == address);
         let before = before.map(|(s, _)| s.clone());
-        if before.is_some() && state == ServerState::Gone {
+        if state == ServerState::Gone {
+            self.addresses.remove(server);
             return None;
         }
         if let Some(before) = &before {
@@ -195,6 +196,11 @@
         before
     }
 
+    /// A server has left the list.
+    pub fn forget(&mut self, server: &ServerId) {
+        self.addresses.remove(server);
+    }
+
     /// Whether it is one of these connections.
     pub fn has(&self, conn: ConnId) -> bool {
         self.links.contains_key(&conn)
@@ -391,14 +397,30 @@
         (link.server.clone(), heard)
     }
 
-    /// Ends connections on which a message stopped short: what is behind it would never be heard.
+    /// Ends connections on which a message stopped short, as what is behind it would never be heard, and those to
+    /// servers that are gone; forgets what was known of these.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         for (conn, link) in &mut self.links {
+            if !link.broken && link.set_ups.is_empty() && !self.addresses.contains_key(&link.server) {
+                link.broken = true;
+                out.push(Command::Close(*conn, "gone"));
+            }
             if !link.broken && link.begun.is_some_and(|at| now - at >= UNFINISHED) {
                 link.broken = true;
                 out.push(Command::Cut(*conn, "unfinished"));
             }
         }
+        let (addresses, links) = (&self.addresses, &self.links);
+        let known = |s: &ServerId| addresses.contains_key(s) || links.values().any(|l| l.server == *s);
+        self.alive.retain(|s, _| known(s));
+        self.checked.retain(|s, _| known(s));
+        self.reset.retain(known);
+    }
+
+    /// Servers that anything is remembered of.
+    pub fn remembered(&self) -> usize {
+        let listed = self.addresses.keys().chain(self.alive.keys()).chain(self.checked.keys());
+        listed.chain(&self.reset).collect::<BTreeSet<_>>().len()
     }
     /// A connection has ended.
     pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed) -> Option<Broken> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,8 @@
 
 use crate::api::*;
 
+/// A server that is gone is remembered for so long: longer than any request that was sent there waits.
+const GONE_KEPT: Micros = Micros(30_000_000);
 /// Changes that a gauge keeps apart.
 const FLOWS_KEPT: usize = 256;
 
@@ -59,6 +61,8 @@
     pub(crate) distrust_until: Micros,
     pub(crate) cold_until: Micros,
     pub(crate) failed_at: Micros,
+    /// When the list last told of it, for one that is gone.
+    pub(crate) gone_at: Micros,
     /// It turned a set-up away for want of places: not asked again before this.
     pub(crate) packed_until: Micros,
     pub(crate) packed: u32,
@@ -152,6 +156,24 @@
 }
 
 impl Book {
+    /// Takes a new server in, in the place of one that has been gone for so long that no request can name it any
+    /// more: ids come and go all day.
+    pub(crate) fn place(&mut self, server: Server) {
+        let now = self.now;
+        let free = |s: &Server| {
+            s.entry.state == ServerState::Gone && s.own.is_empty() && now - s.gone_at > GONE_KEPT
+        };
+        let i = self.servers.iter().position(free).unwrap_or(self.servers.len());
+        let id = server.entry.id.clone();
+        if i < self.servers.len() {
+            let old = std::mem::replace(&mut self.servers[i], server);
+            self.names.remove(&old.entry.id);
+        } else {
+            self.servers.push(server);
+        }
+        self.names.insert(id, i);
+    }
+
     /// Sorts the servers by cell and by rack.
     pub(crate) fn index(&mut self, cells: u32) {
         self.by_cell.clear();
@@ -160,7 +182,9 @@
             if server.entry.state != ServerState::Gone {
                 self.by_cell.entry(u64::from(server.entry.cell % cells)).or_default().push(i);
             }
-            self.by_rack[server.rack].push(i);
+            if server.entry.state != ServerState::Gone || !server.own.is_empty() {
+                self.by_rack[server.rack].push(i);
+            }
         }
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -422,3 +422,38 @@
     assert!(world.out.contains(&Command::Cut(next, "bad-field")));
     assert!(!world.written(viewer).contains("answer"));
 }
+
+/// Guards against memory that grows all day: servers, viewers, titles and connections come and go under new ids.
+/// Every other session is given up by its viewer, every third server leaves the list unsaid.
+#[test]
+fn what_has_gone_is_forgotten() {
+    let mut world = World::new();
+    for n in 0..1000 {
+        let (server, id) = (format!("s-{n}"), SessionId(n));
+        let (entry, address) =
+            (ServerEntry::new(ServerId::new(&server), ServerState::Ready, 0), [127, 0, 0, 1]);
+        let servers = vec![Listed { entry, address: (address, 1 + (n % 7) as u16).into() }];
+        world.node.news(world.now, News { kind: ListKind::Complete, servers }, &mut world.out);
+        let viewer = world.viewer();
+        let line = json!({"type": "setup", "id": format!("{:016x}", id.0), "sdp": "offer", "fields":
+            {"class": "clip", "left": 4000, "key": format!("k{n}"), "extras": "home:0;copies:3;top:1"}});
+        world.bytes(viewer, format!("{line}\n").as_bytes());
+        let edge = *world.dials().last().expect("a new server has no connection yet");
+        world.node.opened(world.now, edge, &mut world.out);
+        if n % 2 == 0 {
+            world.bytes(edge, &answer(id, "offer").finish().unwrap());
+            world.bytes(edge, &release(id, cause::NORMAL).finish().unwrap());
+        }
+        world.closed(viewer, &UNSENT);
+        if n % 3 != 0 {
+            world.list(&server, ServerState::Gone, 1);
+        }
+        world.pass(400);
+        for (conn, _) in world.closing() {
+            world.closed(conn, &UNSENT);
+        }
+        world.out.clear();
+    }
+    // Titles fade within 100 s, 250 of these.
+    assert!(world.node.remembered() < 300, "{}", world.node.remembered());
+}
