Find the units of shared streams by key, so that a busy broker has time to spare

Ruled out: sockets and codecs (under 1% each), own_part (5%).

Now live sessions find their unit by key and recorded ones do not look. There is no test of its own: what it changes is time, which tests here do not assert; those of the rung rule cover the result.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -412,24 +412,24 @@
 
     fn units(&self, servers: &[usize], newcomer: Option<SessionId>) -> Vec<Unit> {
         let mut units: Vec<Unit> = Vec::new();
+        let mut shared: BTreeMap<(usize, usize, usize, &Text), usize> = BTreeMap::new();
         let own = servers.iter().flat_map(|i| &self.book.servers[*i].own);
         for (&id, s) in own.map(|id| (id, &self.book.sessions[id])).filter(|(_, s)| s.phase != Phase::Done) {
             let (server, class, rung, new) = (s.server, s.req.class, s.rung, newcomer == Some(id));
             let rested = s.changed.is_none_or(|at| self.book.now >= at + CHANGE_EVERY);
             let free = new || rested && s.phase == Phase::Playing;
-            let shared = units.iter_mut().find(|u| {
-                let title = &self.book.sessions[&u.ids[0]].req.title;
-                (u.server, u.class, u.rung, title) == (server, class, rung, &s.req.title)
-            });
             let (ids, lo, hi, weight, playing) = (vec![id], s.lo, s.hi, s.weight, !new);
-            match shared.filter(|_| self.set.classes[class].live) {
-                Some(u) => {
+            if self.set.classes[class].live {
+                let next = units.len();
+                let k = *shared.entry((server, class, rung, &s.req.title)).or_insert(next);
+                if let Some(u) = units.get_mut(k) {
                     u.ids.push(id);
                     (u.lo, u.hi, u.weight) = (u.lo.max(lo), u.hi.min(hi), u.weight + weight);
                     (u.free, u.playing) = (u.free && free, u.playing || playing);
+                    continue;
                 }
-                None => units.push(Unit { ids, server, class, rung, lo, hi, weight, free, playing }),
             }
+            units.push(Unit { ids, server, class, rung, lo, hi, weight, free, playing });
         }
         units
     }
