Bound the memory that floods of requests, withdrawals and named sessions can take

Seen in the code: an open request keeps its description of up to 16 KiB, also once its session stands and it can't be sent again; nothing bounds how many are open; a session that is said to play at a listed server stays until that server speaks of it; each withdrawn attempt is remembered for 30 s. 32 MB are gone with 2,000 requests of the longest form.

Now sessions and their descriptions may take a quarter of limits.memory_mb, what comes beyond is refused at once with the longest wait that the settings allow, which is safe for paid ones as nothing was sent; a session that stands drops its description; 4,096 given-up attempts are remembered at most; servers may leave 2 MiB unread.

Each test was seen to fail with its part taken out.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -2,12 +2,14 @@
 //! clock: it is fed a time and an [`Input`] and gives [`Effect`]s.
 
 mod guard;
+mod late;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
 pub use guard::{Guard, History};
+use late::Late;
 
 use crate::api::*;
 use crate::brain::Brain;
@@ -39,8 +41,8 @@
 /// A session description, passed on unchanged.
 pub type Description = Arc<[u8]>;
 
-/// A late answer to an attempt that was given up is released if it comes within this.
-const LATE: Micros = Micros(30_000_000);
+/// What a session takes in the core, the module and the fronts, roughly, beside its description.
+const SESSION_BYTES: usize = 1024;
 
 /// How much later an overdue answer is given by the core itself, should the module have kept silent.
 const LAST_CALL: Micros = Micros(5_000);
@@ -175,8 +177,6 @@
     Module(u64),
     Attempt(SessionId, u32),
     LastCall(SessionId),
-    /// An attempt that was given up is forgotten.
-    Forget(SessionId, ServerId),
 }
 
 /// The core of one playback broker.
@@ -188,10 +188,14 @@
     classes: Vec<crate::api::Effect>,
     cap: u32,
     sessions: BTreeMap<SessionId, Session>,
-    /// Attempts of this broker that were given up, and until when a late answer to them is expected.
-    given_up: BTreeMap<(SessionId, ServerId), Micros>,
+    late: Late,
     alarms: BTreeSet<(Micros, Alarm)>,
     pending: VecDeque<Event>,
+    /// Bytes of the descriptions that are held, and what sessions and they may take in all.
+    offers: usize,
+    room: usize,
+    /// How long a client stays away that there is no room for.
+    full_wait: Micros,
 }
 
 impl Broker {
@@ -211,9 +215,32 @@
             classes,
             cap,
             sessions: BTreeMap::new(),
-            given_up: BTreeMap::new(),
+            late: Late::default(),
             alarms: BTreeSet::new(),
             pending: VecDeque::new(),
+            offers: 0,
+            room: usize::MAX,
+            full_wait: Micros(0),
+        }
+    }
+
+    /// With so many bytes for sessions and their descriptions; what comes beyond that is refused at once, and told
+    /// to stay away for so long.
+    pub fn bounded(mut self, room: usize, wait: Micros) -> Broker {
+        (self.room, self.full_wait) = (room, wait);
+        self
+    }
+
+    /// Whether there is room for one more session with so long a description.
+    fn room_for(&self, offer: usize) -> bool {
+        let sessions = (self.sessions.len() + 1).saturating_mul(SESSION_BYTES);
+        sessions.saturating_add(self.offers + offer) <= self.room
+    }
+
+    /// Takes a session off the books.
+    fn remove(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.remove(&id) {
+            self.offers -= session.offer.len();
         }
     }
 
@@ -250,7 +277,7 @@
 
     /// What is remembered, at its fullest place: to be watched where ids come and go all day.
     pub fn remembered(&self) -> usize {
-        let own = [self.sessions.len(), self.given_up.len(), self.alarms.len(), self.guard.remembered()];
+        let own = [self.sessions.len(), self.late.remembered(), self.alarms.len(), self.guard.remembered()];
         own.into_iter().chain([self.module.remembered()]).max().unwrap_or(0)
     }
 
@@ -364,6 +391,11 @@
             out.push(Effect::Refused(request.id, Micros(0)));
             return;
         }
+        if !self.room_for(offer.len()) {
+            out.push(Effect::Refused(request.id, self.full_wait));
+            return;
+        }
+        self.offers += offer.len();
         let (id, due) = (request.id, request.due);
         let (stage, rung, history, late) = (Stage::Waiting, None, History::default(), due <= now);
         let session = Session { request: request.clone(), offer, stage, rung, history, late };
@@ -379,7 +411,7 @@
             return;
         }
         // Nothing would ever end it.
-        if request.class >= self.classes.len() || !self.guard.runs(&server) {
+        if request.class >= self.classes.len() || !self.guard.runs(&server) || !self.room_for(0) {
             return out.push(Effect::Ended(id, Status::Reset));
         }
         let stage = Stage::Standing { server: server.clone(), attempt: 0 };
@@ -405,9 +437,7 @@
         s.stage = Stage::Waiting;
         s.history.ended(status);
         out.push(Effect::GiveUp(id, server.clone()));
-        let until = now + LATE;
-        self.given_up.insert((id, server.clone()), until);
-        self.alarms.insert((until, Alarm::Forget(id, server.clone())));
+        self.late.expect(now, id, &server);
         let (took, load) = (now - sent, Load::default());
         self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
     }
@@ -425,7 +455,7 @@
                 self.cancelled(id, attempt, server);
             }
         }
-        self.sessions.remove(&id);
+        self.remove(id);
     }
 
     fn cancelled(&mut self, id: SessionId, attempt: u32, server: ServerId) {
@@ -447,10 +477,12 @@
         });
         if let Some((s, attempt, sent)) = waited {
             s.stage = Stage::Standing { server: at.clone(), attempt };
+            // It is not sent again.
+            self.offers -= std::mem::replace(&mut s.offer, Description::from(&[][..])).len();
             s.history.ended(Status::Completed);
             out.push(Effect::Plays(id, answer));
             self.pending.push_back(Event::First { id, attempt, server: at, took: now - sent });
-        } else if !self.stands(id, &at) && self.given_up.remove(&(id, at.clone())).is_some() {
+        } else if !self.stands(id, &at) && self.late.came(now, id, &at) {
             // A late answer to an attempt that was given up: nobody waits for it, and it must not play on. Other
             // answers, as second copies or under ids of others, may concern sessions that stand elsewhere.
             out.push(Effect::Cut(id, at));
@@ -483,7 +515,7 @@
                 });
             }
             Stage::Standing { server, attempt } if server == at => {
-                self.sessions.remove(&id);
+                self.remove(id);
                 out.push(Effect::Ended(id, status));
                 let (took, closed) = (Micros(0), true);
                 self.pending.push_back(Event::Outcome { id, attempt, server, status, took, closed, load });
@@ -505,11 +537,6 @@
                     self.drop_attempt(now, id, Status::TimedOut, false, out);
                 }
             }
-            Alarm::Forget(id, server) => {
-                if self.given_up.get(&(id, server.clone())).is_some_and(|until| *until <= now) {
-                    self.given_up.remove(&(id, server));
-                }
-            }
             Alarm::LastCall(id) => {
                 // No request may be left without its answer, even if the module forgot it.
                 let owed = self.sessions.get(&id).is_some_and(|s| !matches!(s.stage, Stage::Standing { .. }));
@@ -540,7 +567,7 @@
                 if let Some(Stage::Standing { server, attempt }) =
                     self.sessions.get(&id).map(|s| s.stage.clone())
                 {
-                    self.sessions.remove(&id);
+                    self.remove(id);
                     out.push(Effect::Moved(id));
                     out.push(Effect::Cut(id, server.clone()));
                     self.cancelled(id, attempt, server);
@@ -606,7 +633,7 @@
         }
         out.push(Effect::Refused(id, wait));
         self.drop_attempt(now, id, Status::Cancelled, true, out);
-        self.sessions.remove(&id);
+        self.remove(id);
     }
 
     fn fail(&mut self, now: Micros, id: SessionId, deadline: bool, out: &mut Vec<Effect>) {
@@ -616,6 +643,6 @@
         let may_have_run = s.history.may_have_run || s.history.out;
         out.push(Effect::Failed(id, Failure { deadline, may_have_run }));
         self.drop_attempt(now, id, Status::Cancelled, true, out);
-        self.sessions.remove(&id);
+        self.remove(id);
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -46,6 +46,8 @@
     pub seed: u64,
     /// Descriptors that it may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may hold.
+    pub memory: usize,
     /// The module's settings.
     pub settings: Settings,
     /// How the settings name things.
@@ -211,7 +213,7 @@
         let listen = |config: &Config| config.whip.as_ref().map(|w| w.listen);
         [
             ("name", self.name != new.name),
-            ("limits.sockets", self.sockets != new.sockets),
+            ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
             ("settings", self.settings != new.settings || self.names != new.names),
             ("listen", self.listen != new.listen),
             ("whip.listen", listen(self) != listen(new)),
@@ -299,10 +301,18 @@
         if sockets < 32 {
             return wrong("limits.sockets", "fewer than 32");
         }
+        let memory_mb = match root.get("limits").and_then(|limits| limits.get("memory_mb").map(|m| m.value)) {
+            Some(mb) => mb.as_f64().filter(|mb| *mb >= 16.0),
+            None => Some(192.0),
+        };
+        let Some(memory_mb) = memory_mb else {
+            return wrong("limits.memory_mb", "not a number of 16 or more");
+        };
         Ok(Config {
             name: root.text("name")?.unwrap_or("amberspindle").to_owned(),
             seed,
             sockets: sockets as usize,
+            memory: (memory_mb * 1024.0 * 1024.0) as usize,
             names: names(settings.value),
             connect_timeout: limit("ConnectTimeout", 250.0),
             idle: limit("Keepalive", 0.0),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -129,7 +129,7 @@
     for command in commands {
         match command {
             Command::Dial(conn, address) => {
-                let outbox = Rc::new(Outbox::default());
+                let outbox = Rc::new(Outbox::new(outbox::SERVERS_BYTES));
                 shared.boxes.borrow_mut().insert(conn, outbox.clone());
                 let driver = dial(shared.clone(), conn, address, outbox);
                 shared.executor.spawn(driver).detach();
@@ -263,7 +263,7 @@
 
 async fn serve(shared: Handle, stream: Async<TcpStream>, peer: SocketAddr, front: Front) {
     let _ = stream.get_ref().set_nodelay(true);
-    let outbox = Rc::new(Outbox::default());
+    let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
     let conn = step(&shared, |node, _, _| node.number());
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
     step(&shared, |node, now, out| node.accepted(now, conn, front, out));
@@ -550,7 +550,7 @@
         }
         assert!(sent > 8 * TURN);
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
-        let outbox = Rc::new(Outbox::default());
+        let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
         let conn = step(&shared, |node, _, _| node.number());
         shared.boxes.borrow_mut().insert(conn, outbox.clone());
         step(&shared, |node, now, out| node.accepted(now, conn, Front::Platform, out));
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -8,8 +8,11 @@
 
 use crate::api::SessionId;
 
-/// A peer that leaves so much unread is let go. The broker may have no more than 32 MB for all connections.
-const MOST_BYTES: usize = 128 * 1024;
+/// A client that leaves so much unread is let go. The broker may have no more than 32 MB for all connections.
+pub const CLIENTS_BYTES: usize = 128 * 1024;
+/// The same for an edge server: a burst of set-ups with long descriptions must not cost the others that are open
+/// on its connection. What sessions may hold in all bounds it too.
+pub const SERVERS_BYTES: usize = 2 * 1024 * 1024;
 /// Pieces of one gathered write.
 const MOST_PIECES: usize = 64;
 
@@ -49,6 +52,7 @@
     /// Bytes of the first piece that are written.
     offset: Cell<usize>,
     bytes: Cell<usize>,
+    most: usize,
     closing: Cell<Option<&'static str>>,
     /// Nothing more is written, whatever is queued.
     cut: Cell<bool>,
@@ -58,6 +62,11 @@
 }
 
 impl Outbox {
+    /// An empty one, for so many bytes.
+    pub fn new(most: usize) -> Outbox {
+        Outbox { most, ..Outbox::default() }
+    }
+
     /// Whether the connection is to end: what comes in is not wanted any more.
     pub fn closing(&self) -> bool {
         self.closing.get().is_some()
@@ -75,7 +84,7 @@
         }
         self.bytes.set(self.bytes.get() + bytes.len());
         self.queue.borrow_mut().push_back((bytes, tag));
-        if self.bytes.get() > MOST_BYTES {
+        if self.bytes.get() > self.most {
             // The peer does not read: nothing more will reach it in time.
             self.cut("overflow");
         }
@@ -158,7 +167,7 @@
 
     #[test]
     fn a_set_up_counts_as_unsent_only_while_not_a_byte_of_it_is_written() {
-        let outbox = Outbox::default();
+        let outbox = Outbox::new(100);
         outbox.push(vec![1; 10], Some(SessionId(1)));
         outbox.push(vec![2; 10], Some(SessionId(2)));
         assert_eq!(outbox.unsent(), [SessionId(1), SessionId(2)]);
@@ -173,7 +182,7 @@
     /// Guards against a set-up that is written on a connection that is already given up.
     #[test]
     fn what_is_queued_is_written_before_a_close_and_not_before_a_cut() {
-        let outbox = Outbox::default();
+        let outbox = Outbox::new(100);
         outbox.push(vec![1; 10], Some(SessionId(1)));
         outbox.close("done");
         assert_eq!(futures_lite::future::block_on(outbox.ready()), None);
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,9 @@
 use crate::platform::viewer::{self, Said, Viewer};
 use crate::whip::{self, Wish};
 
+/// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
+/// once more, and the program and its buffers need the rest.
+const SESSIONS_PART: usize = 4;
 /// How long a release waits for a connection that it could go out on.
 const OWED_KEPT: Micros = Micros(8_000_000);
 /// Keeps the ids of the second front apart from the module's random numbers.
@@ -107,7 +110,8 @@
     pub fn new(config: &Config) -> Node {
         let (tell, see) = (config.settings.tell, config.settings.see);
         Node {
-            broker: Broker::new(config.settings.clone(), config.seed),
+            broker: Broker::new(config.settings.clone(), config.seed)
+                .bounded(config.memory / SESSIONS_PART, config.settings.max_retry_after),
             names: config.names.clone(),
             settings: config.settings.clone(),
             links: Links::new(config.idle, tell, see),
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -331,3 +331,29 @@
         assert!(core.stands(id, &set_up.server).is_empty());
     }
 }
+
+/// Guards against memory that a flood of requests, or of sessions said to play, can use up. What is refused was
+/// never sent, so a paid one may be refused too; room that is free again is used again.
+#[test]
+fn what_there_is_no_room_for_is_refused_at_once() {
+    let mut core = Core::new(3);
+    core.broker = core.broker.bounded(10 * 1024 + 3 * 5, ms(400));
+    let entry = |n| ServerEntry::new(server(n), ServerState::Ready, n);
+    core.tell(Input::Servers { kind: ListKind::Complete, servers: (0..3).map(entry).collect() });
+    let refused = |id| Effect::Refused(SessionId(id), ms(400));
+    let to: Vec<SetUp> = (0..3).flat_map(|id| sent(&core.ask(id, PAID))).collect();
+    assert_eq!(to.len(), 3);
+    let open = |id: u64| {
+        let request = Request::new(SessionId(id), Text::from("t"), Micros(0), 3, 1);
+        Input::Open(request, server(0))
+    };
+    for id in 10..17 {
+        assert!(answers(&core.tell(open(id))).is_empty());
+    }
+    assert_eq!(core.tell(open(17)), [Effect::Ended(SessionId(17), Status::Reset)]);
+    assert_eq!(core.ask(3, PAID), [refused(3)]);
+    core.tell(Input::Left(SessionId(16)));
+    core.stands(0, &to[0].server);
+    assert_eq!(sent(&core.ask(4, PAID)).len(), 1, "a session that stands needs its description no more");
+    assert_eq!(core.ask(5, CLIP), [refused(5)]);
+}
