Let the next attempt leave a little after the last one has ended

Checked: the give-up is written on its own connection and before the next set-up (its commit holds: no dial between them), but both leave in the same turn on two connections, and whoever reads them may read the second first when it had been waking for that connection anyway. The same holds for the end of a connection, which was dropped only after the set-ups on it had been settled. Ruled out: the core (one stage for one attempt) and order within a connection.

Now a set-up whose session's last attempt ended less than 5 ms ago waits in its connection's queue. If it is withdrawn, or the connection ends, meanwhile, it never ran. A connection is dropped before what was open on it is settled. Each part taken out makes the test fail.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -246,6 +246,8 @@
             let _ = stream.get_ref().set_nodelay(true);
             step(&shared, |node, now, out| node.opened(now, conn, out));
             let reason = drive(&shared, conn, &stream, &outbox).await;
+            // The server hears of the end before the next attempts leave.
+            drop(stream);
             ended(&shared, conn, &peer, reason, ended_with(&outbox, reason));
         }
         Err(error) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -169,11 +169,13 @@
 
     /// When [`Node::tick`] is wanted next.
     pub fn next_alarm(&self) -> Micros {
-        self.broker.next_alarm().map_or(self.look_at, |at| at.min(self.look_at))
+        let alarms = [self.broker.next_alarm(), self.links.next_due()];
+        alarms.into_iter().flatten().fold(self.look_at, Micros::min)
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.links.write_due(now, out);
         self.tell(now, Input::Tick, out);
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -22,6 +22,10 @@
 /// A message that stopped short for so long is not going on: servers write each in one piece.
 const UNFINISHED: Micros = Micros(400_000);
 
+/// Time between the end of one attempt and the next of the same session elsewhere. They travel on different
+/// connections: without it the second can be read before the end of the first, and two are out at once.
+const APART: Micros = Micros(5_000);
+
 /// Time between checks of one server.
 const CHECK_EVERY: Micros = Micros(500_000);
 /// A server that turns connections down and was not heard of for so long is lost, whatever the list says: the
@@ -96,6 +100,15 @@
     Lost,
 }
 
+/// What waits to be written.
+#[derive(Debug)]
+struct Queued {
+    set_up: Option<SessionId>,
+    bytes: Vec<u8>,
+    /// Not before this.
+    after: Micros,
+}
+
 #[derive(Debug, Default)]
 struct Link {
     decoder: Decoder,
@@ -106,8 +119,8 @@
     broken: bool,
     /// When the message began that is not whole yet.
     begun: Option<Micros>,
-    /// Waits for the connection to come up.
-    queue: Vec<(Option<SessionId>, Vec<u8>)>,
+    /// Waits for the connection to come up, or for its time.
+    queue: Vec<Queued>,
     /// Set-ups that wait for an answer, and when they were written.
     set_ups: BTreeMap<SessionId, Micros>,
     heard: Micros,
@@ -125,6 +138,8 @@
     reset: BTreeSet<ServerId>,
     /// When a server was last checked.
     checked: BTreeMap<ServerId, Micros>,
+    /// Sessions whose last attempt ended just now, and when.
+    ended: BTreeMap<SessionId, Micros>,
     next: u64,
     idle: Micros,
     quiet: Micros,
@@ -143,6 +158,21 @@
 }
 
 impl Link {
+    /// Writes what has waited for the connection, or for its time.
+    fn write_due(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+        if !self.open || self.broken {
+            return;
+        }
+        let (due, later) = self.queue.drain(..).partition(|queued| queued.after <= now);
+        self.queue = later;
+        for Queued { set_up, bytes, .. } in due {
+            if let Some(id) = set_up {
+                self.set_ups.insert(id, now);
+            }
+            out.push(Command::Write(conn, bytes, set_up));
+        }
+    }
+
     /// Reads the messages that are whole.
     fn read(&mut self, heard: &mut Vec<Heard>) -> Result<(), Malformed> {
         while let Some(packet) = self.decoder.next_packet()? {
@@ -176,8 +206,8 @@
     pub fn new(idle: Micros, tell: Micros, see: Micros) -> Links {
         let quiet = if tell == Micros(0) { Micros::MAX } else { tell + see + NOTES_SPARE };
         let (addresses, links, alive) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (reset, checked) = (BTreeSet::new(), BTreeMap::new());
-        Links { addresses, links, alive, reset, checked, next: 0, idle, quiet }
+        let (reset, checked, ended) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        Links { addresses, links, alive, reset, checked, ended, next: 0, idle, quiet }
     }
 
     /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
@@ -275,10 +305,12 @@
         if let Some(id) = set_up {
             link.set_ups.insert(id, now);
         }
-        if link.open {
+        let ended = set_up.and_then(|id| self.ended.get(&id));
+        let after = ended.map_or(Micros(0), |at| *at + APART);
+        if link.open && after <= now {
             out.push(Command::Write(conn, bytes, set_up));
         } else {
-            link.queue.push((set_up, bytes));
+            link.queue.push(Queued { set_up, bytes, after });
         }
         true
     }
@@ -308,7 +340,7 @@
         let Some((conn, link)) = self.links.iter_mut().find(own) else { return };
         let written = link.set_ups.remove(&id);
         let queued = link.queue.len();
-        link.queue.retain(|(of, _)| *of != Some(id));
+        link.queue.retain(|queued| queued.set_up != Some(id));
         if link.queue.len() < queued {
             return;
         }
@@ -322,11 +354,25 @@
             link.used = now;
             out.push(Command::Write(*conn, bytes, None));
         }
+        self.ended.insert(id, now);
+    }
+
+    /// When [`Links::write_due`] is wanted next.
+    pub fn next_due(&self) -> Option<Micros> {
+        let open = self.links.values().filter(|l| l.open && !l.broken);
+        open.flat_map(|l| &l.queue).map(|queued| queued.after).min()
+    }
+
+    /// Writes what has waited for its time.
+    pub fn write_due(&mut self, now: Micros, out: &mut Vec<Command>) {
+        for (conn, link) in self.links.iter_mut().filter(|(_, l)| !l.queue.is_empty()) {
+            link.write_due(now, *conn, out);
+        }
     }
 
-    /// Whether a set-up still waits for its connection to come up, so that it certainly has not run.
+    /// Whether a set-up still waits for its connection to come up, or for its time, so that it certainly has not run.
     pub fn waits(&self, id: SessionId) -> bool {
-        self.links.values().any(|l| l.queue.iter().any(|(of, _)| *of == Some(id)))
+        self.links.values().any(|l| l.queue.iter().any(|queued| queued.set_up == Some(id)))
     }
 
     /// Ends a session, or an attempt that was given up.
@@ -356,12 +402,7 @@
     pub fn opened(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
         let Some(link) = self.links.get_mut(&conn) else { return };
         (link.open, link.heard) = (true, now);
-        for (set_up, bytes) in link.queue.drain(..) {
-            if let Some(id) = set_up {
-                link.set_ups.insert(id, now);
-            }
-            out.push(Command::Write(conn, bytes, set_up));
-        }
+        link.write_due(now, conn, out);
         let server = link.server.clone();
         self.alive.insert(server.clone(), now);
         self.reset.remove(&server);
@@ -415,6 +456,7 @@
         self.alive.retain(|s, _| known(s));
         self.checked.retain(|s, _| known(s));
         self.reset.retain(known);
+        self.ended.retain(|_, at| now - *at < APART);
     }
 
     /// Servers that anything is remembered of.
@@ -425,13 +467,16 @@
     /// A connection has ended.
     pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed) -> Option<Broken> {
         let link = self.links.remove(&conn)?;
+        let queued = |id: SessionId| link.queue.iter().any(|queued| queued.set_up == Some(id));
         let ended = |id: SessionId| match how {
             Closed::Refused | Closed::NoAnswer | Closed::Unopened => (id, Status::ConnectFailed),
-            Closed::Ended { unsent, .. } if unsent.contains(&id) => (id, Status::ConnectFailed),
+            Closed::Ended { unsent, .. } if unsent.contains(&id) || queued(id) => (id, Status::ConnectFailed),
             // Some of it may have reached the server: that proves nothing.
             Closed::Ended { .. } => (id, Status::Reset),
         };
-        let over = link.set_ups.keys().copied().map(ended).collect();
+        let over: Vec<(SessionId, Status)> = link.set_ups.keys().copied().map(ended).collect();
+        let ran = over.iter().filter(|(_, status)| *status == Status::Reset);
+        self.ended.extend(ran.map(|(id, _)| (*id, now)));
         let open = self.links.values().any(|l| l.server == link.server && l.open);
         let unheard = self.unheard(now, &link.server);
         if matches!(how, Closed::Ended { reset: true, .. }) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -457,3 +457,44 @@
     // Titles fade within 100 s, 250 of these.
     assert!(world.node.remembered() < 300, "{}", world.node.remembered());
 }
+
+/// Seen on a recorded day: a give-up and the next attempt left in the same moment on two connections, the attempt
+/// was read first, and two were out at once. One that is withdrawn, or loses its connection, meanwhile never ran.
+#[test]
+fn the_next_attempt_leaves_a_little_after_the_last_one_has_ended() {
+    for then in ["waits", "leaves", "breaks"] {
+        let mut world = World::new();
+        let (viewer, first) = world.playing();
+        world.list("s-0", ServerState::Draining, 1);
+        world.list("s-1", ServerState::Ready, 2);
+        world.ask_as(viewer, SessionId(2));
+        let second = world.dials()[0];
+        world.node.opened(world.now, second, &mut world.out);
+        world.list("s-0", ServerState::Ready, 1);
+        world.out.clear();
+        while world.out.is_empty() {
+            world.pass(1);
+        }
+        assert!(
+            matches!(world.out[..], [Command::Write(conn, _, None)] if conn == second),
+            "{:?}",
+            world.out
+        );
+        world.out.clear();
+        let line = json!({"type": "release", "id": format!("{:016x}", 2), "fields": {}, "cause": 16});
+        match then {
+            "leaves" => world.bytes(viewer, format!("{line}\n").as_bytes()),
+            "breaks" => world.closed(first, &UNSENT),
+            _ => {}
+        }
+        let proven = world.node.take_log().iter().any(|line| line.contains("no connection"));
+        assert_eq!(proven, then == "breaks", "not a byte of it was written");
+        world.pass(10);
+        let sent = world
+            .out
+            .iter()
+            .any(|c| matches!(c, Command::Write(conn, _, Some(SessionId(2))) if *conn == first));
+        assert_eq!(sent, then == "waits", "{then}");
+        assert!(!world.written(viewer).contains("47"));
+    }
+}
