--- a/src/message/binary.rs
+++ b/src/message/binary.rs
@@ -1,6 +1,6 @@
 //! Binary messages: `length:2 type:1 session:8` and parameters `code:1 length:2 value`, big-endian.
 
-use super::{Kind, LARGEST, Malformed};
+use super::{Inbox, Kind, LARGEST, Malformed};
 use crate::api::SessionId;
 
 /// Codes of the parameters.
@@ -71,30 +71,24 @@
 /// Finds messages in a stream of bytes.
 #[derive(Debug, Default)]
 pub struct Decoder {
-    buffer: Vec<u8>,
-    start: usize,
+    inbox: Inbox,
 }
 
 impl Decoder {
     /// Takes bytes in.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..self.start);
-        self.start = 0;
-        self.buffer.extend_from_slice(bytes);
+        self.inbox.feed(bytes);
     }
 
     /// Whether a message has begun that is not whole yet.
     pub fn begun(&self) -> bool {
-        self.buffer.len() > self.start
+        !self.inbox.is_empty()
     }
 
     /// The next whole message, or none until more bytes come.
     pub fn next_packet(&mut self) -> Result<Option<Packet<'_>>, Malformed> {
-        // A connection that waits for its next message holds no memory for it.
-        if self.buffer.len() == self.start && self.buffer.capacity() > LARGEST {
-            (self.buffer, self.start) = (Vec::new(), 0);
-        }
-        let bytes = &self.buffer[self.start..];
+        self.inbox.free_if_empty();
+        let bytes = self.inbox.rest();
         let Some((length, rest)) = bytes.split_at_checked(2) else { return Ok(None) };
         let length = usize::from(u16::from_be_bytes([length[0], length[1]]));
         if length + 2 > LARGEST {
@@ -106,8 +100,8 @@
         if rest.len() < length {
             return Ok(None);
         }
-        self.start += 2 + length;
-        let body = &rest[..length];
+        self.inbox.skip(2 + length);
+        let body = self.inbox.just_read(length);
         let kind = Kind::from_code(body[0]).ok_or(Malformed::UnknownType)?;
         let mut id = [0; 8];
         id.copy_from_slice(&body[1..HEAD]);
--- a/src/message/line.rs
+++ b/src/message/line.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Map, Value};
 
-use super::{Kind, LARGEST, Malformed};
+use super::{Inbox, Kind, LARGEST, Malformed};
 use crate::api::SessionId;
 
 /// One message of a viewer's connection.
@@ -101,38 +101,32 @@
 /// Finds messages in a stream of bytes.
 #[derive(Debug, Default)]
 pub struct Decoder {
-    buffer: Vec<u8>,
-    start: usize,
-    /// Bytes after `start` that hold no line feed.
+    inbox: Inbox,
+    /// Bytes at the front that hold no line feed.
     searched: usize,
 }
 
 impl Decoder {
     /// Takes bytes in.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..self.start);
-        self.start = 0;
-        self.buffer.extend_from_slice(bytes);
+        self.inbox.feed(bytes);
     }
 
     /// Whether a message has begun that is not whole yet.
     pub fn begun(&self) -> bool {
-        self.buffer.len() > self.start
+        !self.inbox.is_empty()
     }
 
     /// The next whole message, or none until more bytes come. Empty lines are skipped.
     pub fn next_line(&mut self) -> Result<Option<Line>, Malformed> {
         loop {
-            let bytes = &self.buffer[self.start..];
+            let bytes = self.inbox.rest();
             let Some(end) = bytes[self.searched..].iter().position(|b| *b == b'\n') else {
                 self.searched = bytes.len();
                 if bytes.len() >= LARGEST {
                     return Err(Malformed::TooLarge);
                 }
-                // A connection that waits for its next message holds no memory for it.
-                if bytes.is_empty() {
-                    (self.buffer, self.start) = (Vec::new(), 0);
-                }
+                self.inbox.free_if_empty();
                 return Ok(None);
             };
             let end = self.searched + end;
@@ -142,7 +136,7 @@
             let line = &bytes[..end];
             let blank = line.iter().all(u8::is_ascii_whitespace);
             let decoded = if blank { None } else { Some(Line::decode(line)) };
-            self.start += end + 1;
+            self.inbox.skip(end + 1);
             self.searched = 0;
             if let Some(decoded) = decoded {
                 return decoded.map(Some);
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -69,6 +69,45 @@
     }
 }
 
+/// Bytes of a stream that have come and are not read yet. An empty one holds no memory: connections wait for their
+/// next message by the hundred.
+#[derive(Debug, Default)]
+struct Inbox {
+    bytes: Vec<u8>,
+    start: usize,
+}
+
+impl Inbox {
+    fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.start);
+        self.start = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    fn rest(&self) -> &[u8] {
+        &self.bytes[self.start..]
+    }
+
+    fn skip(&mut self, n: usize) {
+        self.start += n;
+    }
+
+    /// What was skipped last.
+    fn just_read(&self, n: usize) -> &[u8] {
+        &self.bytes[self.start - n..self.start]
+    }
+
+    fn is_empty(&self) -> bool {
+        self.bytes.len() == self.start
+    }
+
+    fn free_if_empty(&mut self) {
+        if self.is_empty() {
+            *self = Inbox::default();
+        }
+    }
+}
+
 /// Causes of releases.
 pub mod cause {
     /// Given up before the answer, or ended in its course after it.
