Read replaced connections to servers to their end, so that no release is lost

A release that the server has written on the old one at that moment is lost and not written again.

At fault: `Links::opened`, which closed the older connections at once, and `net::drive`, which reads nothing behind a close.

Now such a connection gets `Command::Leave`: what is queued is written, the sending side is shut, and what the server writes until it closes too is heard (0.5 s at most). Its end tells nothing of the server.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,7 +35,7 @@
 
 /// A peer that takes nothing for so long while there is something to write is let go.
 const STALLED: Duration = Duration::from_secs(2);
-/// How long input is dropped behind the end of a client's connection.
+/// How long a peer has to close a connection too that this side has ended.
 const PARTING: Duration = Duration::from_millis(500);
 /// Time between looks for a connection that can be let go, while descriptors are short.
 const ROOM: Duration = Duration::from_millis(50);
@@ -144,6 +144,11 @@
                     outbox.close(reason);
                 }
             }
+            Command::Leave(conn, reason) => {
+                if let Some(outbox) = shared.boxes.borrow().get(&conn) {
+                    outbox.leave(reason);
+                }
+            }
             Command::Cut(conn, reason) => {
                 if let Some(outbox) = shared.boxes.borrow().get(&conn) {
                     outbox.cut(reason);
@@ -161,9 +166,9 @@
         loop {
             // One buffer does for all connections: nothing else runs between the read and the step.
             let n = match stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await {
-                Ok(0) => return "end-of-stream",
+                Ok(0) => return outbox.reason().unwrap_or("end-of-stream"),
                 Ok(n) => n,
-                Err(error) => return code(&error),
+                Err(error) => return outbox.reason().unwrap_or(code(&error)),
             };
             // What comes behind the end is read for nobody.
             if !outbox.closing() {
@@ -178,6 +183,10 @@
     let write = async {
         loop {
             if let Some(reason) = outbox.ready().await {
+                if outbox.leaving() {
+                    let _ = stream.get_ref().shutdown(Shutdown::Write);
+                    Timer::after(PARTING).await;
+                }
                 return reason;
             }
             let piece = stream.write_with(|mut s| outbox.gather(|slices| s.write_vectored(slices)));
@@ -564,6 +573,34 @@
         assert!(sent - rest <= 3 * TURN, "{} of {sent} bytes read", sent - rest);
     }
 
+    /// Guards against a close that destroys what the peer wrote before it saw it, such as the end of a session.
+    #[test]
+    fn what_a_peer_writes_until_it_closes_too_is_heard_on_a_connection_that_is_left() {
+        let settings = include_str!("../../deploy/operator.toml");
+        let config = Config::read(&toml::from_str(settings).unwrap()).unwrap();
+        let shared = Shared::new(&config, Board::new(config.names.clone(), &serde_json::Value::Null).0);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
+        let conn = step(&shared, |node, _, _| node.number());
+        shared.boxes.borrow_mut().insert(conn, outbox.clone());
+        step(&shared, |node, now, out| node.accepted(now, conn, Front::Platform, out));
+        let class = config.names.classes[0].clone();
+        let last_words = std::thread::spawn(move || {
+            assert_eq!(peer.read(&mut [0; 16]).unwrap(), 0, "it is told of the end first");
+            let fields = serde_json::json!({"class": class, "left": 500, "key": "k", "extras": "home:0;copies:1;top:0"});
+            let id = "9b1f03aa5c7e2d41";
+            let line = serde_json::json!({"type": "setup", "id": id, "sdp": "offer", "fields": fields});
+            peer.write_all(format!("{line}\n").as_bytes()).unwrap();
+        });
+        outbox.leave("replaced");
+        assert_eq!(async_io::block_on(drive(&shared, conn, &stream, &outbox)), "replaced");
+        drop(stream);
+        last_words.join().unwrap();
+        assert_eq!(shared.node.borrow().held(), (1, 0), "the last words were heard");
+    }
+
     #[test]
     fn time_goes_on_when_the_clock_is_set_back() {
         let clock = Clock::default();
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -54,6 +54,8 @@
     bytes: Cell<usize>,
     most: usize,
     closing: Cell<Option<&'static str>>,
+    /// What the peer writes before it closes too is still wanted.
+    leaving: Cell<bool>,
     /// Nothing more is written, whatever is queued.
     cut: Cell<bool>,
     cut_bell: Bell,
@@ -67,9 +69,19 @@
         Outbox { most, ..Outbox::default() }
     }
 
-    /// Whether the connection is to end: what comes in is not wanted any more.
+    /// Why the connection is to end, if it is.
+    pub fn reason(&self) -> Option<&'static str> {
+        self.closing.get()
+    }
+
+    /// Whether the connection is to end and what comes in is not wanted any more.
     pub fn closing(&self) -> bool {
-        self.closing.get().is_some()
+        self.closing.get().is_some() && !self.leaving()
+    }
+
+    /// Whether the connection is to end once the peer has closed it too.
+    pub fn leaving(&self) -> bool {
+        self.leaving.get() && !self.cut.get()
     }
 
     /// Whether anything was written.
@@ -112,6 +124,12 @@
         self.bell.ring();
     }
 
+    /// Ends the connection once all is written and the peer has closed too.
+    pub fn leave(&self, reason: &'static str) {
+        self.leaving.set(self.closing.get().is_none());
+        self.close(reason);
+    }
+
     /// Waits until there is something to write; a reason ends the connection instead.
     pub async fn ready(&self) -> Option<&'static str> {
         loop {
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -41,6 +41,8 @@
     Write(ConnId, Vec<u8>, Option<SessionId>),
     /// Write out what is queued, then close, leaving a log line with this reason.
     Close(ConnId, &'static str),
+    /// Write out what is queued, then only read until the server has closed too: what it wrote before is heard.
+    Leave(ConnId, &'static str),
     /// Close at once: what is queued is not written any more.
     Cut(ConnId, &'static str),
 }
@@ -117,6 +119,8 @@
     suspect: bool,
     /// It brought what can't be read: nothing more is read or written there.
     broken: bool,
+    /// Another has taken its place: nothing more is written there, but it is read to its end.
+    left: bool,
     /// When the message began that is not whole yet.
     begun: Option<Micros>,
     /// Waits for the connection to come up, or for its time.
@@ -158,6 +162,11 @@
 }
 
 impl Link {
+    /// Whether it is up and in use.
+    fn up(&self) -> bool {
+        self.open && !self.left
+    }
+
     /// Writes what has waited for the connection, or for its time.
     fn write_due(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
         if !self.open || self.broken {
@@ -257,6 +266,7 @@
             l.server == *server
                 && !l.suspect
                 && !l.broken
+                && !l.left
                 && (!l.open || self.idle == Micros(0) || now - l.used.max(l.heard) + IDLE_SPARE < self.idle)
         };
         self.links.iter().filter(|(_, l)| good(l)).max_by_key(|(id, l)| (l.open, **id)).map(|(id, _)| *id)
@@ -406,10 +416,12 @@
         let server = link.server.clone();
         self.alive.insert(server.clone(), now);
         self.reset.remove(&server);
-        // The ones before it said nothing for too long, or are about to be closed.
-        for (id, old) in self.links.iter().filter(|(id, l)| **id != conn && l.server == server) {
-            if old.open && old.set_ups.is_empty() {
-                out.push(Command::Close(*id, "replaced"));
+        // The ones before it said nothing for too long, or are about to be closed. A release may be on its way on
+        // them and would not be written again: they are read to their end.
+        for (id, old) in self.links.iter_mut().filter(|(id, l)| **id != conn && l.server == server) {
+            if old.up() && old.set_ups.is_empty() {
+                old.left = true;
+                out.push(Command::Leave(*id, "replaced"));
             }
         }
     }
@@ -477,9 +489,10 @@
         let over: Vec<(SessionId, Status)> = link.set_ups.keys().copied().map(ended).collect();
         let ran = over.iter().filter(|(_, status)| *status == Status::Reset);
         self.ended.extend(ran.map(|(id, _)| (*id, now)));
-        let open = self.links.values().any(|l| l.server == link.server && l.open);
+        let open = self.links.values().any(|l| l.server == link.server && l.up());
         let unheard = self.unheard(now, &link.server);
-        if matches!(how, Closed::Ended { reset: true, .. }) {
+        // A server that has nothing to say may answer the end of a connection that was left with a reset.
+        if !link.left && matches!(how, Closed::Ended { reset: true, .. }) {
             self.reset.insert(link.server.clone());
         }
         let server_is = match how {
@@ -511,7 +524,7 @@
 
     /// Servers that connections are open to.
     pub fn connected(&self) -> BTreeSet<ServerId> {
-        self.links.values().filter(|l| l.open).map(|l| l.server.clone()).collect()
+        self.links.values().filter(|l| l.up()).map(|l| l.server.clone()).collect()
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -121,7 +121,7 @@
     fn closing(&self) -> Vec<(ConnId, &'static str)> {
         let close = |c: &Command| match c {
             Command::Close(conn, reason) => Some((*conn, *reason)),
-            Command::Dial(..) | Command::Write(..) | Command::Cut(..) => None,
+            Command::Dial(..) | Command::Write(..) | Command::Leave(..) | Command::Cut(..) => None,
         };
         self.out.iter().filter_map(close).collect()
     }
@@ -207,6 +207,33 @@
     assert!(world.ended(viewer));
 }
 
+/// Seen on a day with a hundred brokers: a server's release crossed the close of a connection that another had
+/// replaced. It is not written again, so the viewer was never told and the rule on lost sessions was broken.
+#[test]
+fn a_release_on_its_way_when_its_connection_is_replaced_is_passed_on() {
+    let mut world = World::new();
+    let (viewer, edge) = world.playing();
+    world.pass(2500);
+    let check = world.dials()[0];
+    world.node.opened(world.now, check, &mut world.out);
+    assert!(world.out.contains(&Command::Leave(edge, "replaced")));
+    // What is new goes out on the new connection.
+    let other = SessionId(7);
+    world.ask_as(viewer, other);
+    assert!(!world.written(check).is_empty() && world.dials().is_empty());
+    world.bytes(edge, &release(ID, cause::NORMAL).finish().unwrap());
+    assert!(world.written(viewer).contains("\"cause\":16"));
+    // The end of the old one says nothing of the server, and a refusal later is no proof of its death.
+    world.closed(edge, &RESET);
+    assert!(world.dials().is_empty());
+    world.list("s-0", ServerState::Draining, 1);
+    world.bytes(check, &answer(other, "offer").finish().unwrap());
+    world.closed(check, &UNSENT);
+    world.pass(1000);
+    world.refuse_all();
+    assert!(!world.ended(viewer));
+}
+
 #[test]
 fn a_new_server_at_an_old_address_ends_what_stood_at_the_old_one() {
     let mut world = World::new();
