Check a silent server only while other servers' notes come

Servers write their notes at one time, so that a note that is missing from all tells of none.

At fault: `Links::silent`, which judged each server by itself. Now a missing note counts while any other server's came within the last interval; else a server is tried after 6 s of silence, in time for the 8 s in which a lost session must be told.

--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -19,6 +19,10 @@
 /// How much later than due a server's notes may come before its connection is taken to be dead.
 const NOTES_SPARE: Micros = Micros(500_000);
 
+/// While no server's notes come, one that was not heard of for so long is tried: what stood at a server that has
+/// vanished must be told within 8 s, and the try takes its time too.
+const SILENT_MOST: Micros = Micros(6_000_000);
+
 /// A message that stopped short for so long is not going on: servers write each in one piece.
 const UNFINISHED: Micros = Micros(400_000);
 
@@ -146,7 +150,10 @@
     ended: BTreeMap<SessionId, Micros>,
     next: u64,
     idle: Micros,
+    tell: Micros,
     quiet: Micros,
+    /// When the last note on a link's load came, of any server.
+    noted: Micros,
 }
 
 /// What a set-up's or a session's release tells.
@@ -216,7 +223,8 @@
         let quiet = if tell == Micros(0) { Micros::MAX } else { tell + see + NOTES_SPARE };
         let (addresses, links, alive) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (reset, checked, ended) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
-        Links { addresses, links, alive, reset, checked, ended, next: 0, idle, quiet }
+        let (next, noted) = (0, Micros(0));
+        Links { addresses, links, alive, reset, checked, ended, next, idle, tell, quiet, noted }
     }
 
     /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
@@ -446,6 +454,9 @@
             link.broken = true;
             out.push(Command::Cut(conn, error.code()));
         }
+        if heard.iter().any(|heard| matches!(heard, Heard::Note(_, Note::Link(_)))) {
+            self.noted = now;
+        }
         link.begun = if link.decoder.begun() { link.begun.or(Some(now)) } else { None };
         (link.server.clone(), heard)
     }
@@ -511,9 +522,12 @@
         Some(Broken { server: link.server, over, server_is })
     }
 
-    /// Servers, of those given, that have been silent for too long.
+    /// Servers, of those given, that have been silent for too long. All write their notes at the same time: where
+    /// no other's came either, a missing one says nothing of its server, and a hundred brokers that try all their
+    /// servers at once are a burden.
     pub fn silent(&self, now: Micros, of: impl Iterator<Item = ServerId>) -> Vec<ServerId> {
-        let quiet = |s: &ServerId| self.unheard(now, s) > self.quiet;
+        let most = if now - self.noted <= self.tell { self.quiet } else { self.quiet.max(SILENT_MOST) };
+        let quiet = |s: &ServerId| self.unheard(now, s) > most;
         of.filter(quiet).collect()
     }
 
