Prefer holders that a connection is up to where new connections cost

At fault: `Brain::holder`, which compared holders as if connections were free. The fee is now read from the settings, and a server that no connection is likely up to ranks as if twice the fee fuller (0.09 at a fee of 0.046). Where there is no fee nothing changes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -216,6 +216,10 @@
     pub move_price: f64,
     /// Part of the score taken for each session that crosses zones.
     pub cross_zone_price: f64,
+    /// Part of the score taken for each new connection to a server, over first tries.
+    pub handshake_price: f64,
+    /// Servers close connections that were idle for so long; zero: never.
+    pub idle: Micros,
     /// Nothing new goes to a draining server after this.
     pub drain_grace: Micros,
     /// A started server is warm after this; zero: at once.
@@ -262,6 +266,8 @@
             max_retry_after: Micros(0),
             move_price: 0.0,
             cross_zone_price: 0.0,
+            handshake_price: 0.0,
+            idle: Micros(0),
             drain_grace: Micros(0),
             cold: Micros(0),
             cold_from: 1.0,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,9 @@
 const COLD_PART: f64 = 0.7;
 /// Fullness that a crossing of zones counts for when holders are compared.
 const CROSS_ZONE_FULL: f64 = 0.15;
+/// Fullness that a new connection counts for when holders are compared, for each point of its price: of many
+/// fronts each sees little of any server, and would pay for nearly as many connections as it has sessions.
+const HANDSHAKE_FULL: f64 = 2.0;
 /// Fullness up to which luck decides between holders, so that fronts that know little do not go as one.
 const LUCK: f64 = 0.05;
 
@@ -408,7 +411,12 @@
             let crowd = (own * own.min(self.set.fronts as usize)) as f64 / places.max(1.0);
             let full = self.full_after(i, self.adds(i, id, s.lo)).max(crowd)
                 + luck(i)
-                + if crosses { CROSS_ZONE_FULL } else { 0.0 };
+                + if crosses { CROSS_ZONE_FULL } else { 0.0 }
+                + if server.linked(self.book.now, self.set.idle) {
+                    0.0
+                } else {
+                    HANDSHAKE_FULL * self.set.handshake_price
+                };
             // Among distrusted servers the one whose distrust ends first.
             if self.trusted(i) { full } else { 10.0 + (server.distrust_until - self.book.now).secs() }
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,6 +73,14 @@
     pub(crate) packed: u32,
 }
 
+impl Server {
+    /// Whether a connection to it is likely up: sessions of this front are there, or one was sent lately.
+    pub(crate) fn linked(&self, now: Micros, idle: Micros) -> bool {
+        let kept = |at: Micros| at > self.failed_at && (idle == Micros(0) || now - at < Micros(idle.0 / 2));
+        !self.own.is_empty() || self.sent_at.is_some_and(kept)
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Title {
     pub(crate) weight: f64,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -627,6 +627,7 @@
     if let Some(fees) = root.find("Fees") {
         s.move_price = fees.number_or("Moves", 0.0)?;
         s.cross_zone_price = fees.number_or("CrossZone", 0.0)?;
+        s.handshake_price = fees.number_or("Handshake", 0.0)?;
     }
     Ok(())
 }
@@ -634,6 +635,7 @@
 fn limits(root: &Conf<'_>, s: &mut Settings) -> Result<(), String> {
     let limits = root.need("Limits")?;
     s.max_attempts = limits.need("AttemptsCap")?.whole()?;
+    s.idle = limits.time_or_zero("Keepalive")?;
     if limits.find("RetryAfter").and_then(|c| c.value.as_bool()) == Some(true) {
         s.max_retry_after = limits.time_or_zero("MaxRetryAfter")?;
     }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -315,6 +315,28 @@
     assert_eq!(chosen(LIVE), 1);
 }
 
+/// Seen on days with a hundred fronts: each sent its few sessions to ever other servers, and the new connections
+/// cost 0.03 to 0.045 of the score.
+#[test]
+fn where_connections_cost_sessions_go_to_servers_that_have_one() {
+    let used = |handshake_price: f64| {
+        let mut f = Front::new(Settings { fronts: 100, handshake_price, ..settings() }, 6);
+        let each = (1..=20).map(|id| {
+            let to = f.play(id, CLIP, "a");
+            f.outcome(id, &to, Status::Completed, true);
+            to
+        });
+        each.collect::<std::collections::BTreeSet<ServerId>>().len()
+    };
+    assert!(used(0.0) > 2);
+    assert_eq!(used(0.05), 1);
+    // It is not worth a link that fills up.
+    let mut f = Front::new(Settings { fronts: 100, handshake_price: 0.05, ..settings() }, 6);
+    let to = f.play(1, CLIP, "a");
+    f.note(1, &to, Note::Link(0.8));
+    assert_ne!(f.play(2, CLIP, "a"), to);
+}
+
 /// Time-outs that a front hears on waking from a stand-still of its own say nothing of the servers.
 #[test]
 fn time_outs_after_an_own_stand_still_blame_no_server() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -24,7 +24,8 @@
             "LinkUnitKb": 1000.0, "RackKb": 3000.0, "Live": [true], "ClassTop": [9], "FloorByClass": [0],
             "ClassSeats": [0], "ClassScale": [1.5]},
         "RequestClasses": [{"Slo": 800.0, "Deadline": 3000.0, "Effect": "non_idempotent", "Importance": 2.0}],
-        "Limits": {"AttemptsCap": 4, "RetryAfter": true, "MaxRetryAfter": 500.0},
+        "Limits": {"AttemptsCap": 4, "RetryAfter": true, "MaxRetryAfter": 500.0, "Keepalive": 30000.0},
+        "Fees": {"Handshake": 0.04},
         "Rules": {"Cold": 12000.0, "RepeatRatio": 0.2, "ExtraFloor": 3.0, "BudgetSpan": 4000.0},
         "Report": {"Fields": ["x0", "x1"]}
     })
@@ -144,6 +145,7 @@
     assert_eq!((s.classes[0].top, s.classes[0].seats, s.classes[0].scale), (Rung(1), None, 1.5));
     assert_eq!(s.budget, Some(RetryBudget { floor: 3.0, ratio: 0.2, span: Micros(4_000_000) }));
     assert!(s.uplink_reported);
+    assert_eq!((s.handshake_price, s.idle), (0.04, Micros(30_000_000)));
 }
 
 #[test]
