Count notes as coming for half their interval when a silent server is judged

A server whose own last note came earlier was taken for silent as long as another's was younger than a whole interval, though its next one was not due yet when all stopped.

At fault: the bound of a whole interval in `Links::silent`. Half of it does: while notes come, those of the other servers lie closer together, and where all are written at once the check waits for the next round.

--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -523,10 +523,14 @@
     }
 
     /// Servers, of those given, that have been silent for too long. All write their notes at the same time: where
-    /// no other's came either, a missing one says nothing of its server, and a hundred brokers that try all their
-    /// servers at once are a burden.
+    /// no other's came lately either, a missing one says nothing of its server, and a hundred brokers that try all
+    /// their servers at once are a burden.
     pub fn silent(&self, now: Micros, of: impl Iterator<Item = ServerId>) -> Vec<ServerId> {
-        let most = if now - self.noted <= self.tell { self.quiet } else { self.quiet.max(SILENT_MOST) };
+        let most = if now - self.noted <= Micros(self.tell.0 / 2) {
+            self.quiet
+        } else {
+            self.quiet.max(SILENT_MOST)
+        };
         let quiet = |s: &ServerId| self.unheard(now, s) > most;
         of.filter(quiet).collect()
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -204,10 +204,13 @@
     world.bytes(viewer, format!("{set_up}\n").as_bytes());
     let other = world.dials()[0];
     world.node.opened(world.now, other, &mut world.out);
-    world.pass(5500);
-    assert!(world.dials().is_empty(), "no server's notes come");
     let note = Builder::new(Kind::Note, SessionId(7)).with(code::NOTE, b"wire").with(code::FIGURE, b"0.5");
-    world.bytes(other, &note.finish().unwrap());
+    let note = note.finish().unwrap();
+    world.pass(1300);
+    world.bytes(other, &note);
+    world.pass(4200);
+    assert!(world.dials().is_empty(), "no server's notes come");
+    world.bytes(other, &note);
     world.pass(250);
     assert_eq!(world.dials().len(), 1, "the other's came");
 }
