Serve from watched files; typed operator's file, clap and structured logs

`amberspindle check` said "the configuration can work" to a box named twice, a weight of -2.0, two boxes at one address, a cell of 99999, `reclame_ms` and `[[servr]]`, and no list could come from a file that changes.

[watch] names lists of servers, weights and titles, which a thread of their own reads and the serving thread takes as one generation; every source of the list now passes through the roster, and the node hears of each change once. The operator's file is read into records with unknown keys refused and all findings told with line and field; the command line is on clap (serve, check, seal, schema, version) and the log on tracing, as text as before or as JSON. A server that comes at another address is another one: its sessions are over and its connections cut. Links find the server at an address through an index of their own instead of a scan for each line of a list.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,6 @@
 //! What a playback broker is told when it starts: on the platform by `LB_*`, elsewhere by an operator's file.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -10,31 +9,20 @@
 use crate::api::{Micros, Settings};
 use crate::eureka;
 use crate::hook::Hook;
-use crate::roster::Names;
+use crate::records::{
+    Bounds, EurekaRecord, Finding, Findings, HookRecord, OperatorFile, Source, TitleRecord, WatchRecord,
+    WhipRecord,
+};
+use crate::roster::{Listed, Names, Plausible};
+use crate::watch;
+use crate::watch::judge::{self, Role, Watched};
 use crate::whip::{self, Title};
 use crate::wire;
 
-/// A setting that cannot work, by name.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigError {
-    /// The setting.
-    pub field: String,
-    /// What is wrong with it.
-    pub problem: String,
-}
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.field, self.problem)
-    }
-}
-
-impl std::error::Error for ConfigError {}
-
-type Read<T> = Result<T, ConfigError>;
+type Read<T> = Result<T, Findings>;
 
 fn wrong<T>(field: &str, problem: impl ToString) -> Read<T> {
-    Err(ConfigError { field: field.to_owned(), problem: problem.to_string() })
+    Err(Finding::setting(field, problem).into())
 }
 
 /// All of it.
@@ -60,8 +48,14 @@
     pub listen: Option<SocketAddr>,
     /// The notice board, if there is one.
     pub board: Option<SocketAddr>,
-    /// The list at the start.
+    /// The notice board's list at the start.
     pub known: Value,
+    /// A fixed list of servers.
+    pub servers: Vec<Listed>,
+    /// What lists of servers and titles may hold.
+    pub bounds: Bounds,
+    /// Files that are watched, if any are.
+    pub watch: Option<watch::Setup>,
     /// The WHIP front, if it is on.
     pub whip: Option<Whip>,
     /// The registry, if there is one.
@@ -100,16 +94,6 @@
         part.value.as_str().map_or_else(|| wrong(&part.path, "not text"), |t| Ok(Some(t)))
     }
 
-    fn need(&self, key: &str) -> Read<&'a str> {
-        self.text(key)?.map_or_else(|| wrong(&self.path(key), "required"), Ok)
-    }
-
-    fn items(&self) -> Read<Vec<Part<'a>>> {
-        let Some(items) = self.value.as_array() else { return wrong(&self.path, "not a list") };
-        let part = |(i, value)| Part { value, path: format!("{}[{i}]", self.path) };
-        Ok(items.iter().enumerate().map(part).collect())
-    }
-
     fn address(&self, key: &str) -> Read<Option<SocketAddr>> {
         let Some(text) = self.text(key)? else { return Ok(None) };
         text.parse().map(Some).or_else(|_| wrong(&self.path(key), "not an address of the form IP:PORT"))
@@ -123,90 +107,94 @@
     }
 }
 
-fn index(part: &Part<'_>, key: &str, list: &[String]) -> Read<usize> {
-    let name = part.need(key)?;
-    Names::index(list, name).map_or_else(|| wrong(&part.path(key), format!("no such name: {name}")), Ok)
+/// A title as the WHIP front takes it.
+pub fn title(record: &TitleRecord, names: &Names) -> (String, Title) {
+    let tenant = record.tenant.as_ref().and_then(|t| Names::index(&names.tenants, t)).unwrap_or(0);
+    let class = Names::index(&names.classes, &record.class).unwrap_or(0);
+    (record.name.clone(), Title { home: record.home, copies: record.copies, class, tenant })
 }
 
-/// A fixed list of servers, in the form that the notice board has.
-fn servers(part: &Part<'_>, names: &Names) -> Read<Value> {
-    let mut targets = Vec::new();
-    for item in part.items()? {
-        let cell = item.whole("cell")?.map_or_else(|| wrong(&item.path("cell"), "required"), Ok)?;
-        let Some(address) = item.address("address")? else { return wrong(&item.path("address"), "required") };
-        if item.get("kind").is_some() {
-            index(&item, "kind", &names.kinds)?;
-        }
-        targets.push(json!({"uid": item.need("id")?, "endpoint": address.to_string(), "pod_group": cell,
-            "model": item.text("kind")?, "state": "in_service",
-            "capacity_hint": item.get("weight").map(|w| w.value.clone())}));
-    }
-    Ok(json!({"rev": 1, "notices": [{"rev": 1, "pool": {"all": true, "targets": targets}}]}))
+fn ms(told: Option<u64>, or: u64) -> Micros {
+    Micros(told.unwrap_or(or).saturating_mul(1000))
 }
 
-fn read_whip(part: &Part<'_>, root: &Part<'_>, config: &Config) -> Read<Whip> {
-    let Some(listen) = part.address("listen")? else { return wrong("whip.listen", "required") };
-    let mut titles = BTreeMap::new();
-    for item in root.get("title").map_or(Ok(Vec::new()), |t| t.items())? {
-        let small = |key: &str| -> Read<u32> {
-            let n = item.whole(key)?.and_then(|n| u32::try_from(n).ok());
-            n.map_or_else(|| wrong(&item.path(key), "required, a small whole number"), Ok)
-        };
-        let tenant =
-            if item.get("tenant").is_some() { index(&item, "tenant", &config.names.tenants)? } else { 0 };
-        let class = index(&item, "class", &config.names.classes)?;
-        let title = Title { home: small("home")?, copies: small("copies")?, class, tenant };
-        if titles.insert(item.need("name")?.to_owned(), title).is_some() {
-            return wrong(&item.path("name"), "there twice");
-        }
-    }
-    if titles.is_empty() {
-        return wrong("title", "none, but the WHIP front needs one");
-    }
-    let ms = |key: &str, or: u64| part.whole(key).map(|n| Micros(n.unwrap_or(or).saturating_mul(1000)));
+fn whip(record: &WhipRecord, file: &OperatorFile, names: &Names) -> Whip {
     let setup = whip::Setup {
-        titles,
-        origin: part.text("origin")?.unwrap_or("*").to_owned(),
-        reclaim: ms("reclaim_ms", 10_000)?,
-        spent: ms("spent_ms", 24 * 3_600_000)?,
-        most_bookings: part.whole("most_bookings")?.unwrap_or(100_000) as usize,
+        titles: file.title.iter().map(|title| self::title(title, names)).collect(),
+        origin: record.origin.clone().unwrap_or_else(|| "*".to_owned()),
+        reclaim: ms(record.reclaim_ms, 10_000),
+        spent: ms(record.spent_ms, 24 * 3_600_000),
+        most_bookings: record.most_bookings.unwrap_or(100_000) as usize,
     };
-    if setup.origin.is_empty() || setup.origin.bytes().any(|b| b.is_ascii_control()) {
-        return wrong("whip.origin", "not an origin");
-    }
-    Ok(Whip { listen, setup })
+    Whip { listen: record.listen.0, setup }
 }
 
-fn read_eureka(part: &Part<'_>, config: &Config) -> Read<eureka::Setup> {
-    let url = part.need("url")?;
+fn read_eureka(record: &EurekaRecord, config: &Config) -> Read<eureka::Setup> {
     let form = "not of the form http://IP:PORT/PATH";
-    let Some(rest) = url.strip_prefix("http://") else { return wrong("eureka.url", form) };
+    let Some(rest) = record.url.strip_prefix("http://") else { return wrong("eureka.url", form) };
     let (address, path) = rest.split_once('/').unwrap_or((rest, ""));
     let address = address.parse().or_else(|_| wrong("eureka.url", form))?;
     let path = path.trim_end_matches('/');
     let path = if path.is_empty() { String::new() } else { format!("/{path}") };
-    let plain = |key: &str, text: &str| -> Read<String> {
+    let plain = |field: &str, text: &str| -> Read<String> {
         let good = |b: u8| b.is_ascii_alphanumeric() || b"-._:~".contains(&b);
         let good = !text.is_empty() && text.bytes().all(good);
-        if good { Ok(text.to_owned()) } else { wrong(&part.path(key), "letters, digits and -._:~ only") }
+        if good { Ok(text.to_owned()) } else { wrong(field, "letters, digits and -._:~ only") }
     };
-    let register = match part.text("register")? {
+    let register = match &record.register {
         None => None,
         Some(app) => {
             let whip = config.whip.as_ref().map(|w| w.listen);
-            let Some(address) = part.address("advertise")?.or(config.listen).or(whip) else {
+            let Some(address) = record.advertise.map(|a| a.0).or(config.listen).or(whip) else {
                 return wrong("eureka.advertise", "required");
             };
-            let id = plain("register", &format!("{}:{}", config.name, address.port()))?;
-            Some(eureka::Own { app: plain("register", app)?, id, address })
+            let id = plain("eureka.register", &format!("{}:{}", config.name, address.port()))?;
+            Some(eureka::Own { app: plain("eureka.register", app)?, id, address })
         }
     };
-    let ms =
-        |key: &str, or: u64| part.whole(key).map(|n| Micros(n.unwrap_or(or).max(100).saturating_mul(1000)));
-    let (fetch, beat) = (ms("fetch_ms", 5_000)?, ms("heartbeat_ms", 30_000)?);
-    Ok(eureka::Setup { address, path, servers: part.need("servers")?.to_owned(), register, fetch, beat })
+    let period = |told: Option<u64>, or: u64| ms(Some(told.unwrap_or(or).max(100)), or);
+    let (fetch, beat) = (period(record.fetch_ms, 5_000), period(record.heartbeat_ms, 30_000));
+    Ok(eureka::Setup { address, path, servers: record.servers.clone(), register, fetch, beat })
+}
+
+/// What is watched; paths start from the folder of the operator's file.
+fn watched(record: &WatchRecord, hook: Option<&HookRecord>, base: &Path) -> Read<watch::Setup> {
+    let file = |role: Role, name: &String| Watched { role, name: name.clone(), path: base.join(name) };
+    let lists: Vec<Watched> =
+        [(Role::Servers, &record.servers), (Role::Weights, &record.weights), (Role::Titles, &record.titles)]
+            .into_iter()
+            .filter_map(|(role, name)| name.as_ref().map(|name| file(role, name)))
+            .collect();
+    for (i, one) in lists.iter().enumerate() {
+        if let Some(other) = lists[..i].iter().find(|other| other.path == one.path) {
+            let field = format!("watch.{}", one.role.name());
+            return wrong(&field, format!("{} is watch.{} too", one.name, other.role.name()));
+        }
+    }
+    if record.unsealed && lists.len() > 1 {
+        let reason = "only where one list is watched: without seals nothing ties several files together";
+        return wrong("watch.unsealed", reason);
+    }
+    let script = hook.map(|h| (file(Role::Script, &h.script), h.operations.unwrap_or(OPERATIONS)));
+    Ok(watch::Setup {
+        lists,
+        script,
+        base: base.to_owned(),
+        unsealed: record.unsealed,
+        notify: record.notify.unwrap_or(true),
+        poll: ms(record.poll_ms, 2_000),
+        most: record.most_kb.unwrap_or(16 * 1024) * 1024,
+        plausible: Plausible {
+            most_dropped: record.most_dropped.unwrap_or(0.5),
+            hold: ms(record.hold_ms, 60_000),
+        },
+        state: record.state.as_ref().map(|dir| base.join(dir)),
+    })
 }
 
+/// Operations that one call of a script may do.
+const OPERATIONS: u64 = 100_000;
+
 impl Config {
     /// Settings in which another configuration differs and which only a new start can take in.
     pub fn fixed(&self, new: &Config) -> Vec<&'static str> {
@@ -218,38 +206,67 @@
             ("listen", self.listen != new.listen),
             ("whip.listen", listen(self) != listen(new)),
             ("eureka", self.eureka != new.eureka),
+            ("watch", self.watch != new.watch),
         ]
         .into_iter()
         .filter_map(|(field, differs)| differs.then_some(field))
         .collect()
     }
 
-    /// Reads an operator's file. Paths in it start from its folder.
+    /// Reads an operator's file. Paths in it start from its folder. All that is wrong is told, not only the first.
     pub fn operator(path: &Path) -> Read<Config> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).or_else(|e| wrong(&file, format!("can't be read: {e}")))?;
-        let value: Value = toml::from_str(&text)
-            .or_else(|e| wrong(&file, format!("not TOML: {}", e.message().replace('\n', " "))))?;
-        let mut config = Config::read(&value)?;
-        let root = Part { value: &value, path: String::new() };
-        if let Some(platform) = root.get("platform") {
-            config.listen = platform.address("listen")?;
-        }
-        if let Some(part) = root.get("server") {
-            config.known = servers(&part, &config.names)?;
-        }
-        config.whip = root.get("whip").map(|part| read_whip(&part, &root, &config)).transpose()?;
-        config.eureka = root.get("eureka").map(|part| read_eureka(&part, &config)).transpose()?;
-        if let Some(part) = root.get("hook") {
-            let script = path.parent().unwrap_or(Path::new("")).join(part.need("script")?);
-            let text = std::fs::read_to_string(&script)
-                .or_else(|e| wrong("hook.script", format!("can't be read: {e}")))?;
-            let operations = part.whole("operations")?.unwrap_or(100_000);
-            Hook::new(&text, operations).or_else(|e| wrong("hook.script", e))?;
-            config.hook = Some((text, operations));
-        }
-        if config.listen.is_none() && config.whip.is_none() {
-            return wrong("platform.listen", "required where there is no [whip]");
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| Finding::whole(&name, format!("can't be read: {e}")))?;
+        let base = path.parent().unwrap_or(Path::new(""));
+        Config::operator_text(&name, &text, base)
+    }
+
+    /// Reads the text of an operator's file.
+    pub fn operator_text(name: &str, text: &str, base: &Path) -> Read<Config> {
+        let source = Source::new(name, text);
+        let file: OperatorFile = source.read()?;
+        // A finding of a part that was read on its own gets its line.
+        let placed = |findings: Findings| -> Findings {
+            let fields = findings.0.into_iter().map(|f| (f.field, f.reason));
+            Findings(source.findings(fields))
+        };
+        let limits = file.limits.clone().unwrap_or_default();
+        let value = json!({
+            "name": file.name, "seed": file.seed, "settings": file.settings, "board": file.board.map(|a| a.0),
+            "limits": {"sockets": limits.sockets, "memory_mb": limits.memory_mb},
+        });
+        let settings = Config::read(&value).map_err(placed);
+        let mut config = match settings {
+            Ok(config) => config,
+            // Lists can't be checked without the settings, the rest can.
+            Err(mut findings) => {
+                if let Err(more) = file.check(&source, &Bounds::default()) {
+                    let known = |f: &Finding| findings.0.iter().any(|have| have.field == f.field);
+                    let of_lists =
+                        |f: &Finding| f.field.starts_with("server[") || f.field.starts_with("title[");
+                    let more: Vec<Finding> =
+                        more.0.into_iter().filter(|f| !known(f) && !of_lists(f)).collect();
+                    findings.0.extend(more);
+                }
+                return Err(findings);
+            }
+        };
+        file.check(&source, &config.bounds)?;
+        config.listen = file.platform.as_ref().map(|p| p.listen.0);
+        config.servers = file.server.iter().map(|s| judge::listed(s, None, &config.names)).collect();
+        config.whip = file.whip.as_ref().map(|record| whip(record, &file, &config.names));
+        let eureka = file.eureka.as_ref().map(|record| read_eureka(record, &config)).transpose();
+        config.eureka = eureka.map_err(placed)?;
+        let watch = file.watch.as_ref().map(|record| watched(record, file.hook.as_ref(), base)).transpose();
+        config.watch = watch.map_err(placed)?;
+        if let (Some(hook), None) = (&file.hook, &config.watch) {
+            let refused = |e: String| placed(Finding::setting("hook.script", e).into());
+            let script = std::fs::read_to_string(base.join(&hook.script))
+                .map_err(|e| refused(format!("{}: can't be read: {e}", hook.script)))?;
+            let operations = hook.operations.unwrap_or(OPERATIONS);
+            Hook::new(&script, operations).map_err(|e| refused(e.to_string()))?;
+            config.hook = Some((script, operations));
         }
         Ok(config)
     }
@@ -313,6 +330,7 @@
             seed,
             sockets: sockets as usize,
             memory: (memory_mb * 1024.0 * 1024.0) as usize,
+            bounds: Bounds { names: names(settings.value), cells: parsed.cells },
             names: names(settings.value),
             connect_timeout: limit("ConnectTimeout", 250.0),
             idle: limit("Keepalive", 0.0),
@@ -320,6 +338,8 @@
             listen: root.address("listen")?,
             board: root.address("board")?,
             known: root.get("known").map_or(Value::Null, |k| k.value.clone()),
+            servers: Vec::new(),
+            watch: None,
             whip: None,
             eureka: None,
             hook: None,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,74 +1,152 @@
 //! The command line.
 
 use std::collections::BTreeMap;
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use amberspindle::config::{Config, ConfigError};
-use amberspindle::net;
+use amberspindle::config::Config;
+use amberspindle::records::{self, Finding, Findings};
+use amberspindle::watch::check;
+use amberspindle::{disk, log, net};
+use clap::{Parser, Subcommand, ValueEnum};
 
-const HELP: &str = "\
-amberspindle: a playback broker
-
-usage: amberspindle serve [--config FILE]      serve until SIGTERM or SIGINT;
-                                             SIGHUP reads the configuration anew
-       amberspindle check [--config FILE]      say whether the configuration can work
-       amberspindle version                    print the version
-       amberspindle help                       print this
+/// A playback broker: it sets viewers' sessions up at streaming servers.
+///
+/// Without --config the configuration is the JSON file that LB_CONFIG names; LB_NAME and LB_LISTEN go before it.
+#[derive(Debug, Parser)]
+#[command(name = "amberspindle", version, arg_required_else_help = true)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
 
-options: --config FILE          an operator's file (TOML); see deploy/operator.toml
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew
+    Serve {
+        /// An operator's file (TOML); see deploy/operator.toml
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// How the log is written
+        #[arg(long, value_name = "FORMAT", default_value = "text")]
+        log_format: log::Format,
+    },
+    /// Say whether the configuration can work, and the files that it watches; one line for each finding
+    Check {
+        /// An operator's file
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Write the closing mark of watched files that are whole, all of one set together
+    Seal {
+        /// The files; those that belong together in one call
+        #[arg(value_name = "FILE", required_unless_present = "config", conflicts_with = "config")]
+        files: Vec<PathBuf>,
+        /// All that this operator's file watches
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Print the JSON Schema of a kind of file
+    Schema {
+        /// Which
+        #[arg(default_value = "operator")]
+        of: Kind,
+    },
+    /// Print the version
+    Version,
+}
 
-Without --config the configuration is the JSON file that LB_CONFIG names; LB_NAME and LB_LISTEN go before it.";
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Kind {
+    Operator,
+    Servers,
+    Weights,
+    Titles,
+}
 
 fn main() -> ExitCode {
-    match command() {
+    match command(Arguments::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("amberspindle: {problem}");
+        Err(findings) => {
+            for finding in findings.0 {
+                eprintln!("amberspindle: {finding}");
+            }
             ExitCode::FAILURE
         }
     }
 }
 
-fn command() -> Result<(), String> {
-    let mut arguments = pico_args::Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        println!("{HELP}");
-        return Ok(());
-    }
-    if arguments.contains(["-V", "--version"]) {
-        return version();
-    }
-    let command = arguments.subcommand().map_err(|e| e.to_string())?;
-    let file: Option<PathBuf> = arguments.opt_value_from_str("--config").map_err(|e| e.to_string())?;
-    let rest = arguments.finish();
-    if let Some(extra) = rest.first() {
-        return Err(format!("{}: not understood; see 'amberspindle help'", extra.to_string_lossy()));
-    }
-    match command.as_deref() {
-        Some("serve") => {
-            let config = read(file.as_deref()).map_err(|e| e.to_string())?;
-            net::run(&config, move || read(file.as_deref())).map_err(|e| e.to_string())
+/// Prints a line; whoever reads it may have gone.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout().lock(), "{line}");
+}
+
+fn command(command: Command) -> Result<(), Findings> {
+    match command {
+        Command::Serve { config: file, log_format } => {
+            let config = read(file.as_deref())?;
+            log::start(log_format);
+            net::run(&config, move || read(file.as_deref())).map_err(|e| Finding::whole("", e).into())
         }
-        Some("check") => read(file.as_deref())
-            .map_err(|e| e.to_string())
-            .map(|config| println!("{}: the configuration can work", config.name)),
-        Some("version") => version(),
-        Some("help") | None => {
-            println!("{HELP}");
+        Command::Check { config } => {
+            let config = read(config.as_deref())?;
+            let read = |path: &Path, most| disk::read(path, most);
+            let watched = config.watch.as_ref().map(|setup| check::check(setup, &config.bounds, &read));
+            let summary = watched.transpose()?.unwrap_or_default();
+            say(&format!("{}: the configuration can work{summary}", config.name));
+            Ok(())
+        }
+        Command::Seal { files, config } => seal(files, config.as_deref()),
+        Command::Schema { of } => {
+            let kind = of.to_possible_value().map(|v| v.get_name().to_owned()).unwrap_or_default();
+            let schema = records::schema(&kind).unwrap_or_default();
+            say(&format!("{schema:#}"));
+            Ok(())
+        }
+        Command::Version => {
+            say(concat!("amberspindle ", env!("CARGO_PKG_VERSION")));
             Ok(())
         }
-        Some(other) => Err(format!("{other}: no such command; see 'amberspindle help'")),
     }
 }
 
-fn version() -> Result<(), String> {
-    println!("amberspindle {}", env!("CARGO_PKG_VERSION"));
+/// Seals files that belong together, or each set that an operator's file watches.
+fn seal(files: Vec<PathBuf>, config: Option<&Path>) -> Result<(), Findings> {
+    let sets = match config {
+        None => vec![files],
+        Some(path) => {
+            let Some(watch) = Config::operator(path)?.watch else {
+                return Err(Finding {
+                    file: path.display().to_string(),
+                    ..Finding::setting("watch", "required")
+                }
+                .into());
+            };
+            let lists = watch.lists.iter().map(|f| f.path.clone()).collect();
+            vec![lists, watch.script.iter().map(|(f, _)| f.path.clone()).collect()]
+        }
+    };
+    for set in sets {
+        let mut read = Vec::new();
+        for path in &set {
+            let bytes = disk::read(path, u64::MAX - 1);
+            let (bytes, _) = bytes.map_err(|e| Finding::whole(&path.display().to_string(), e))?;
+            read.push(bytes);
+        }
+        let names: Vec<String> = set.iter().map(|p| p.display().to_string()).collect();
+        let sealed = check::seal(&names, &read)?;
+        for ((path, bytes), name) in set.iter().zip(sealed).zip(&names) {
+            disk::replace(path, &bytes)
+                .map_err(|e| Finding::whole(name, format!("can't be replaced: {e}")))?;
+            say(&format!("{name}: sealed"));
+        }
+    }
     Ok(())
 }
 
 /// Reads the operator's file, or what the platform says.
-fn read(file: Option<&Path>) -> Result<Config, ConfigError> {
+fn read(file: Option<&Path>) -> Result<Config, Findings> {
     if let Some(file) = file {
         return Config::operator(file);
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The only module with sockets: thin drivers that move bytes between them and the [`Node`].
 
+mod files;
 mod outbox;
 
 use std::cell::{Cell, RefCell};
@@ -14,15 +15,18 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt, future};
+use tracing::{info, warn};
 
-use crate::api::Micros;
+use crate::api::{ListKind, Micros};
 use crate::board::{self, Board};
-use crate::config::{Config, ConfigError};
+use crate::config::Config;
 use crate::eureka::{self, Call, Eureka};
 use crate::http::client;
 use crate::node::{Front, Node};
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::platform::longest_deadline;
+use crate::records::Findings;
+use crate::roster::{News, Plausible, Roster, Source};
 use outbox::{Bell, Outbox};
 
 /// After SIGTERM connections and requests keep coming for so long.
@@ -50,6 +54,9 @@
     bell: Bell,
     buffer: RefCell<Vec<u8>>,
     board: RefCell<Board>,
+    roster: RefCell<Roster>,
+    /// Rings when the list has changed, or when one is held back.
+    listed: Bell,
     /// Where the notice board listens, and the bell that tells of a new address.
     board_at: Cell<Option<SocketAddr>>,
     board_moved: Bell,
@@ -64,13 +71,16 @@
     Duration::from_micros(span.0)
 }
 
-fn log(line: &str) {
-    // A log that can't be written must not end the broker.
-    let _ = writeln!(io::stdout().lock(), "{line}");
+fn unix() -> Micros {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Micros(unix.as_micros() as u64)
 }
 
 impl Shared {
     fn new(config: &Config, board: Board) -> Handle {
+        // Only lists from watched files are ever held back.
+        let never = Plausible { most_dropped: 1.0, hold: Micros(0) };
+        let plausible = config.watch.as_ref().map_or(never, |w| w.plausible);
         Rc::new(Shared {
             executor: LocalExecutor::new(),
             node: RefCell::new(Node::new(config)),
@@ -79,6 +89,8 @@
             bell: Bell::default(),
             buffer: RefCell::new(vec![0; TURN]),
             board: RefCell::new(board),
+            roster: RefCell::new(Roster::new(plausible)),
+            listed: Bell::default(),
             board_at: Cell::new(config.board),
             board_moved: Bell::default(),
             accepted: Cell::new(0),
@@ -88,8 +100,7 @@
     }
 
     fn now(&self) -> Micros {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.clock.read(Micros(unix.as_micros() as u64))
+        self.clock.read(unix())
     }
 }
 
@@ -124,7 +135,7 @@
         (act(&mut node, now, &mut commands), node.take_log())
     };
     for line in lines {
-        log(&line);
+        info!(event = "module", "{line}");
     }
     for command in commands {
         match command {
@@ -236,7 +247,7 @@
 
 fn ended(shared: &Handle, conn: ConnId, peer: &str, reason: &str, how: Closed) {
     shared.boxes.borrow_mut().remove(&conn);
-    log(&format!("end conn={} peer={peer} reason={reason}", conn.0));
+    info!(event = "end", conn = conn.0, peer, reason);
     step(shared, |node, now, out| node.closed(now, conn, &how, out));
 }
 
@@ -306,7 +317,7 @@
                 future::yield_now().await;
             }
             Err(error) => {
-                log(&format!("accept failed reason={}", code(&error)));
+                warn!(event = "accept failed", reason = code(&error));
                 Timer::after(Duration::from_millis(20)).await;
             }
         }
@@ -336,7 +347,7 @@
             continue;
         };
         let end = |reason: &str| {
-            log(&format!("end peer=board:{address} reason={reason} last={}", shared.board.borrow().last()));
+            info!(event = "end", peer = %format_args!("board:{address}"), reason, last = shared.board.borrow().last());
         };
         let moved = async {
             shared.board_moved.heard().await;
@@ -368,7 +379,7 @@
         let mut news = Vec::new();
         let read = shared.board.borrow_mut().bytes(&buffer[..n], &mut news);
         for news in news {
-            step(shared, |node, now, out| node.news(now, news, out));
+            files::hear(shared, Source::Board, news);
         }
         if let Err(error) = read {
             return Ok(error.code());
@@ -376,20 +387,27 @@
     }
 }
 
+/// A fixed list, as a whole.
+fn whole(servers: Vec<crate::roster::Listed>) -> News {
+    News { kind: ListKind::Complete, servers }
+}
+
 /// Takes a new configuration in; one that can't work is logged, and the old one stays.
-fn reload(shared: &Handle, old: &mut Config, read: Result<Config, ConfigError>) {
+fn reload(shared: &Handle, old: &mut Config, read: Result<Config, Findings>) {
     let new = match read {
         Ok(new) => new,
-        Err(problem) => return log(&format!("reload refused problem={problem}")),
+        Err(problem) => {
+            return warn!(event = "reload refused", problem = %problem);
+        }
     };
     let fixed = old.fixed(&new);
     for field in &fixed {
-        log(&format!("reload {field}: changed, waits for the next start"));
+        warn!(event = "reload", field, "reload {field}: changed, waits for the next start");
     }
     let news = if new.board.is_some() || new.known == old.known {
         shared.board.borrow_mut().known(&new.known)
     } else {
-        // A list that stands in the file has no numbers: it is taken as a whole.
+        // A list without a board has no numbers: it is taken as a whole.
         Board::new(old.names.clone(), &new.known).1
     };
     // Titles name classes of the settings that they came with.
@@ -397,13 +415,16 @@
         shared.node.borrow_mut().reload(&new);
     }
     for news in news {
-        step(shared, |node, now, out| node.news(now, news, out));
+        files::hear(shared, Source::Board, news);
+    }
+    if new.servers != old.servers {
+        files::hear(shared, Source::Fixed, whole(new.servers.clone()));
     }
     if shared.board_at.replace(new.board) != new.board {
         shared.board_moved.ring();
     }
-    (old.board, old.known) = (new.board, new.known);
-    log(&format!("reloaded last={}", shared.board.borrow().last()));
+    (old.board, old.known, old.servers) = (new.board, new.known, new.servers);
+    info!(event = "reloaded", last = shared.board.borrow().last());
 }
 
 /// Hears the signals as long as the program runs: SIGHUP reloads, the first of the others rings to stop.
@@ -411,16 +432,20 @@
     shared: Handle,
     mut signals: Signals,
     mut config: Config,
-    reread: impl Fn() -> Result<Config, ConfigError>,
+    reread: impl Fn() -> Result<Config, Findings>,
+    files: Option<Rc<RefCell<files::Files>>>,
     stop: Rc<Bell>,
 ) {
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => reload(&shared, &mut config, reread()),
+            Ok(Signal::Hup) => {
+                reload(&shared, &mut config, reread());
+                files.iter().for_each(files::ask);
+            }
             other => {
                 // Tests fail from the moment that the log tells of it.
                 shared.node.borrow_mut().stop();
-                log(&format!("stopping signal={other:?}"));
+                info!(event = "stopping", signal = ?other);
                 stop.ring();
             }
         }
@@ -449,11 +474,11 @@
     };
     let reply = within(CALL, work).await;
     if let Err(error) = &reply {
-        log(&format!("end peer=eureka:{address} reason={} call={call:?}", code(error)));
+        warn!(event = "end", peer = %format_args!("eureka:{address}"), reason = code(error), call = ?call);
     }
     let reply = reply.as_ref().ok().map(|(status, body)| (*status, body.as_slice()));
     if let Some(news) = registry.replied(shared.now(), call, reply) {
-        step(shared, |node, now, out| node.news(now, news, out));
+        files::hear(shared, Source::Registry, news);
     }
 }
 
@@ -483,12 +508,20 @@
 }
 
 /// Serves until it is told to stop. `reread` gives the configuration anew when that is asked for.
-pub fn run(config: &Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
+pub fn run(config: &Config, reread: impl Fn() -> Result<Config, Findings> + 'static) -> io::Result<()> {
     let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (board, known) = Board::new(config.names.clone(), &config.known);
     let shared = Shared::new(config, board);
+    let watched = config.watch.clone().map(|setup| files::start(&shared, config, setup));
+    if !config.servers.is_empty() {
+        files::hear(&shared, Source::Fixed, whole(config.servers.clone()));
+    }
     for news in known {
-        step(&shared, |node, now, out| node.news(now, news, out));
+        files::hear(&shared, Source::Board, news);
+    }
+    // Servers leave a list by and by only where it comes from files or passes to another source.
+    if watched.is_some() || config.eureka.is_some() {
+        shared.executor.spawn(files::keep(shared.clone(), watched.clone())).detach();
     }
     shared.executor.spawn(follow(shared.clone())).detach();
     // A third for viewers is the platform's share; the rest is for servers and what is closing.
@@ -500,7 +533,14 @@
         let field = if front == Front::Whip { "whip.listen" } else { "listen" };
         let listener = Async::<TcpListener>::bind(address)
             .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))?;
-        log(&format!("{} listens on {} for {}", config.name, listener.get_ref().local_addr()?, front.name()));
+        let (name, address, front_name) = (&config.name, listener.get_ref().local_addr()?, front.name());
+        info!(
+            event = "listens",
+            name = name.as_str(),
+            address = %address,
+            front = front_name,
+            "{name} listens on {address} for {front_name}"
+        );
         fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most)));
     }
     let leave = Rc::new(Bell::default());
@@ -510,7 +550,7 @@
     });
     shared.executor.spawn(keep_time(shared.clone())).detach();
     let stopping = Rc::new(Bell::default());
-    let signals = signals(shared.clone(), heard, config.clone(), reread, stopping.clone());
+    let signals = signals(shared.clone(), heard, config.clone(), reread, watched, stopping.clone());
     shared.executor.spawn(signals).detach();
     let stop = async {
         stopping.heard().await;
@@ -535,7 +575,7 @@
         step(&shared, |node, now, out| node.end(now, out));
         // Last words are still on their way out.
         Timer::after(Duration::from_millis(50)).await;
-        log("stopped");
+        info!(event = "stopped");
     };
     async_io::block_on(shared.executor.run(stop));
     Ok(())
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,9 +10,9 @@
 use crate::message::line::Line;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, Server, status};
 use crate::platform::viewer::{self, Said, Viewer};
-use crate::roster::Names;
-use crate::roster::News;
-use crate::whip::{self, Wish};
+use crate::roster::{Names, News};
+use crate::watch::judge::Role;
+use crate::whip::{self, Title, Wish};
 
 /// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
 /// once more, and the program and its buffers need the rest.
@@ -134,14 +134,42 @@
         (self.broker.unanswered(), self.broker.standing())
     }
 
-    /// Takes in what a new configuration says of the script and the titles; what waits or plays is untouched.
+    /// Takes in what a new configuration says of the front and the script; what waits or plays is untouched.
+    /// Titles and a script that are watched stay as their files have them.
     pub fn reload(&mut self, config: &Config) {
-        self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
+        let watch = config.watch.as_ref();
+        if watch.is_none_or(|w| w.script.is_none()) {
+            self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
+        }
         if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
-            whip.reload(new.setup.clone());
+            let mut setup = new.setup.clone();
+            if watch.is_some_and(|w| w.lists.iter().any(|f| f.role == Role::Titles)) {
+                setup.titles = whip.titles().clone();
+            }
+            whip.reload(setup);
+        }
+    }
+
+    /// Takes new titles in; sessions of titles that are no longer there play on.
+    pub fn retitle(&mut self, titles: BTreeMap<String, Title>) {
+        if let Some(whip) = &mut self.whip {
+            whip.retitle(titles);
         }
     }
 
+    /// Takes a new script in. False if it can't be used: the old one stays.
+    pub fn rescript(&mut self, text: &str, operations: u64) -> bool {
+        let hook = Hook::new(text, operations).ok();
+        let good = hook.is_some();
+        self.hook = hook.or(self.hook.take());
+        good
+    }
+
+    /// Whether anything is set up, or waits for it, at a server.
+    pub fn busy(&self, server: &ServerId) -> bool {
+        self.broker.stands_any(server)
+    }
+
     /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
     pub fn remembered(&self) -> usize {
         let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
@@ -298,7 +326,7 @@
         }
         for listed in &news.servers {
             let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
-            lost.extend(self.links.listed(id, listed.address, state));
+            lost.extend(self.links.listed(id, listed.address, state, out));
             // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
             // reset its connections: they may stay open and silent.
             let before = self.servers.insert(id.clone(), (state, up));
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -139,6 +139,8 @@
 #[derive(Debug)]
 pub struct Links {
     addresses: BTreeMap<ServerId, SocketAddr>,
+    /// The same the other way round: no two servers are at one address.
+    at: BTreeMap<SocketAddr, ServerId>,
     links: BTreeMap<ConnId, Link>,
     /// When a server was last heard of, or found to accept a connection.
     alive: BTreeMap<ServerId, Micros>,
@@ -221,31 +223,52 @@
     /// `tell`, late by `see`.
     pub fn new(idle: Micros, tell: Micros, see: Micros) -> Links {
         let quiet = if tell == Micros(0) { Micros::MAX } else { tell + see + NOTES_SPARE };
-        let (addresses, links, alive) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let (addresses, at) = (BTreeMap::new(), BTreeMap::new());
+        let (links, alive) = (BTreeMap::new(), BTreeMap::new());
         let (reset, checked, ended) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
         let (next, noted) = (0, Micros(0));
-        Links { addresses, links, alive, reset, checked, ended, next, idle, tell, quiet, noted }
+        Links { addresses, at, links, alive, reset, checked, ended, next, idle, tell, quiet, noted }
     }
 
     /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
-    /// may have the address of one that has gone, and what is meant for the old one must not reach the new.
-    pub fn listed(&mut self, server: &ServerId, address: SocketAddr, state: ServerState) -> Option<ServerId> {
-        let before = self.addresses.iter().find(|(s, a)| *s != server && **a == address);
-        let before = before.map(|(s, _)| s.clone());
+    /// may have the address of one that has gone, and what is meant for the old one must not reach the new. For
+    /// the same reason a server that comes at another address is another one: it is given too, and its
+    /// connections are cut.
+    pub fn listed(
+        &mut self,
+        server: &ServerId,
+        address: SocketAddr,
+        state: ServerState,
+        out: &mut Vec<Command>,
+    ) -> Vec<ServerId> {
         if state == ServerState::Gone {
-            self.addresses.remove(server);
-            return None;
+            self.forget(server);
+            return Vec::new();
+        }
+        if self.addresses.get(server) == Some(&address) {
+            return Vec::new();
         }
-        if let Some(before) = &before {
-            self.addresses.remove(before);
+        let mut lost = Vec::new();
+        if let Some(old) = self.addresses.insert(server.clone(), address) {
+            self.at.remove(&old);
+            lost.push(server.clone());
+            for (conn, link) in self.links.iter_mut().filter(|(_, l)| l.server == *server && !l.broken) {
+                link.broken = true;
+                out.push(Command::Cut(*conn, "moved"));
+            }
         }
-        self.addresses.insert(server.clone(), address);
-        before
+        if let Some(before) = self.at.insert(address, server.clone()) {
+            self.addresses.remove(&before);
+            lost.push(before);
+        }
+        lost
     }
 
     /// A server has left the list.
     pub fn forget(&mut self, server: &ServerId) {
-        self.addresses.remove(server);
+        if let Some(address) = self.addresses.remove(server) {
+            self.at.remove(&address);
+        }
     }
 
     /// Whether it is one of these connections.
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -141,6 +141,16 @@
         self.setup = setup;
     }
 
+    /// The titles by name.
+    pub fn titles(&self) -> &BTreeMap<String, Title> {
+        &self.setup.titles
+    }
+
+    /// Takes new titles in; sessions that stand play on.
+    pub fn retitle(&mut self, titles: BTreeMap<String, Title>) {
+        self.setup.titles = titles;
+    }
+
     /// From now on each connection ends with its next response.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -291,7 +291,7 @@
 #[test]
 fn the_command_line_names_what_it_can_not_do() {
     assert!(run(&["version"], None).1.starts_with("amberspindle "));
-    assert!(run(&["help"], None).1.contains("usage:"));
+    assert!(run(&["help"], None).1.contains("Usage:"));
     let (fine, text) = run(&["dance"], None);
     assert!(!fine && text.contains("dance"));
     let (fine, text) = run(&["check", "--confg", "x"], None);
