--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -206,6 +206,10 @@
         let taken_over = self.current.source.is_some_and(|owner| owner < source);
         let whole = news.kind == ListKind::Complete;
         let mut lines = news.servers;
+        // What is named is not dropped, whatever is said of it.
+        if !self.leaving.is_empty() {
+            lines.iter().for_each(|l| drop(self.leaving.remove(&l.entry.id)));
+        }
         if whole {
             let named: BTreeSet<&ServerId> = lines.iter().map(|l| &l.entry.id).collect();
             let absent = self.current.servers.iter().filter(|(id, _)| !named.contains(id));
@@ -258,9 +262,6 @@
             } else {
                 added += 1;
             }
-            if line.entry.state == ServerState::Ready {
-                self.leaving.remove(&id);
-            }
             servers.insert(id, line.clone());
             told.push(line);
         }
@@ -295,7 +296,7 @@
     /// is warm is not known, and a cold one must not be pushed over. One that the list drops drains: its sessions
     /// play on, and it is gone once they are over. One that comes back at another address is a new server, and so
     /// is one at an address that another had: that other one is gone.
-    pub fn offer(&mut self, now: Micros, candidate: Candidate) -> Verdict {
+    pub fn offer(&mut self, now: Micros, mut candidate: Candidate) -> Verdict {
         if let Some(owner) = self.outranked(Source::Watched) {
             self.held = None;
             return Verdict::Shadowed(owner);
@@ -311,11 +312,11 @@
             self.held = None;
             return Verdict::Older { revision, than };
         }
-        let named: BTreeSet<&ServerId> = candidate.servers.iter().map(|l| &l.entry.id).collect();
-        let standing = |id: &ServerId| !self.leaving.contains_key(id);
-        let old = self.current.servers.keys().filter(|id| standing(id));
-        let (of, dropped) =
-            old.fold((0, 0), |(of, dropped), id| (of + 1, dropped + usize::from(!named.contains(id))));
+        // In the order of the map, both are walked side by side: no look-up for each line.
+        candidate.servers.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
+        let of = self.current.servers.len() - self.leaving.len();
+        let absent = absent(&self.current.servers, &candidate.servers);
+        let dropped = absent.iter().filter(|l| !self.leaving.contains_key(&l.entry.id)).count();
         if dropped as f64 > self.plausible.most_dropped * of as f64 {
             let held = self.held.as_ref().filter(|h| h.candidate.digest == candidate.digest);
             let (since, news) = held.map_or((now, true), |h| (h.since, false));
@@ -363,29 +364,30 @@
         if servers.is_empty() { None } else { Some(News { kind: ListKind::Changes, servers }) }
     }
 
+    /// Takes a list whose lines are in order.
     fn take(&mut self, now: Micros, candidate: Candidate) -> Verdict {
         self.held = None;
         let first = self.current.number == 0;
-        let addresses: BTreeMap<SocketAddr, &ServerId> = candidate
-            .servers
-            .iter()
-            .filter(|l| l.entry.state != ServerState::Gone)
-            .map(|l| (l.address, &l.entry.id))
-            .collect();
-        let named: BTreeSet<&ServerId> = candidate.servers.iter().map(|l| &l.entry.id).collect();
+        let absent: Vec<Listed> =
+            absent(&self.current.servers, &candidate.servers).into_iter().cloned().collect();
         let mut lines = Vec::new();
-        for (id, line) in self.current.servers.iter().filter(|(id, _)| !named.contains(id)) {
-            let mut line = line.clone();
-            // Its address is another's now: it can't be there any more.
-            let displaced = addresses.contains_key(&line.address);
-            line.entry.state = if displaced { ServerState::Gone } else { ServerState::Draining };
-            if !displaced {
-                self.leaving.entry(id.clone()).or_insert(now);
+        if !absent.is_empty() {
+            let running = candidate.servers.iter().filter(|l| l.entry.state != ServerState::Gone);
+            let addresses: BTreeSet<SocketAddr> = running.map(|l| l.address).collect();
+            for mut line in absent {
+                // Where its address is another's now it can't be there any more.
+                let displaced = addresses.contains(&line.address);
+                line.entry.state = if displaced { ServerState::Gone } else { ServerState::Draining };
+                if !displaced {
+                    self.leaving.entry(line.entry.id.clone()).or_insert(now);
+                }
+                lines.push(line);
             }
-            lines.push(line);
         }
+        let mut old = self.current.servers.iter().peekable();
         for mut line in candidate.servers {
-            let before = self.current.servers.get(&line.entry.id);
+            while old.next_if(|(id, _)| **id < line.entry.id).is_some() {}
+            let before = old.next_if(|(id, _)| **id == line.entry.id).map(|(_, before)| before);
             line.entry.up_since = match (line.entry.up_since, before) {
                 (Some(Micros(0)), _) => None,
                 (Some(told), _) => Some(told),
@@ -393,7 +395,13 @@
                 (None, _) if first => None,
                 (None, _) => Some(now),
             };
-            lines.push(line);
+            // What the list names is not dropped, whatever it says of it.
+            if !self.leaving.is_empty() {
+                self.leaving.remove(&line.entry.id);
+            }
+            if before != Some(&line) {
+                lines.push(line);
+            }
         }
         // Those that are gone first: an address may pass from one to another.
         lines.sort_by_key(|l| l.entry.state != ServerState::Gone);
@@ -431,5 +439,15 @@
     }
 }
 
+/// Lines of a list that another, in the order of ids, does not name.
+fn absent<'a>(list: &'a OrdMap<ServerId, Listed>, named: &[Listed]) -> Vec<&'a Listed> {
+    let mut named = named.iter().map(|l| &l.entry.id).peekable();
+    let mut lacks = |id: &ServerId| {
+        while named.next_if(|other| *other < id).is_some() {}
+        named.next_if(|other| *other == id).is_none()
+    };
+    list.iter().filter(|(id, _)| lacks(id)).map(|(_, line)| line).collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/roster/tests.rs
+++ b/src/roster/tests.rs
@@ -87,6 +87,16 @@
     );
 }
 
+/// Seen in a review: a server that a list dropped and the next one calls draining was let go for good.
+#[test]
+fn a_dropped_server_that_the_next_list_calls_draining_is_not_let_go() {
+    let mut roster = roster(vec![line("a", 1), line("b", 2), line("c", 3)]);
+    roster.offer(s(1), candidate(2, vec![line("a", 1), line("c", 3)]));
+    let list = vec![line("a", 1), with(line("b", 2), ServerState::Draining), line("c", 3)];
+    assert_eq!(roster.offer(s(2), candidate(3, list)), Verdict::Same, "it drains already");
+    assert_eq!((roster.leaving(), roster.part(s(99), |_| false)), (0, None));
+}
+
 /// "A new edge server may have the address of one that has gone", and an id may come back elsewhere.
 #[test]
 fn another_address_or_another_id_makes_a_new_server() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use amberspindle::api::SessionId;
 use amberspindle::message::binary::{Builder, Decoder, code};
@@ -30,6 +30,8 @@
 #[derive(Default)]
 struct Heard {
     set_ups: Vec<(SessionId, String)>,
+    /// When each came.
+    times: Vec<Instant>,
     /// Offers of the set-ups that were not turned away unseen.
     ran: Vec<String>,
     releases: Vec<SessionId>,
@@ -88,6 +90,7 @@
                     Kind::SetUp => {
                         assert!(packet.text(code::CLASS).is_some() && packet.text(code::WAIT).is_some());
                         heard.set_ups.push((id, offer.clone()));
+                        heard.times.push(Instant::now());
                         if manner != Manner::Full {
                             heard.ran.push(offer.clone());
                         }
@@ -134,6 +137,11 @@
         self.heard.0.lock().unwrap().set_ups.clone()
     }
 
+    /// When set-ups came.
+    pub fn times(&self) -> Vec<Instant> {
+        self.heard.0.lock().unwrap().times.clone()
+    }
+
     /// Offers of the set-ups that were not turned away unseen.
     pub fn ran(&self) -> Vec<String> {
         self.heard.0.lock().unwrap().ran.clone()
@@ -315,6 +323,10 @@
         stream
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
