--- a/benches/watched.rs
+++ b/benches/watched.rs
@@ -1,4 +1,4 @@
-//! What watching costs a broker, and how soon a list counts. `cargo bench --bench watched [-- --before PROGRAM]`
+//! What watching costs a broker, and how soon a list counts. `cargo bench --bench watched [-- --before PROGRAM | --flapping]`
 //!
 //! Real brokers before stand-in edge servers on loopback. With `--before`, an earlier build of the program is
 //! started in turn with this one, and start-up and memory on the platform's configuration are held side by side.
@@ -24,6 +24,8 @@
 const CLIENTS: usize = 4;
 /// How long idle brokers are watched.
 const IDLE: Duration = Duration::from_secs(60);
+/// How long requests go on beside a list that flaps.
+const FLAPPING: Duration = Duration::from_secs(10);
 /// Starts of each program.
 const STARTS: usize = 20;
 /// What left before the list was taken has arrived by then.
@@ -35,8 +37,12 @@
     if let Some(before) = before {
         starts(Path::new(before));
     }
+    if arguments.iter().any(|a| a == "--flapping") {
+        return flapping();
+    }
     reaction("with the system's word", "poll_ms = 3600000");
     reaction("with looks every 50 ms", "notify = false\npoll_ms = 50");
+    flapping();
     idle();
 }
 
@@ -114,6 +120,73 @@
     }
 }
 
+/// What requests wait, and what the log grows, while a list of 10,000 servers is rewritten every 10 ms.
+fn flapping() {
+    let edge = Edge::start(Manner::Answers);
+    let mut text = String::new();
+    for n in 0..10_000 {
+        let address =
+            if n == 0 { edge.address.to_string() } else { format!("127.1.{}.{}:9", n / 250, n % 250 + 1) };
+        // Ten servers a rack; only the first stands in the cell that holds the title.
+        let cell = if n == 0 { 0 } else { 1 + n / 10 % 998 };
+        text += &format!("[[server]]\nid = \"box-{n}\"\naddress = \"{address}\"\ncell = {cell}\n");
+    }
+    let whole = seal::close_all([(text.as_bytes(), Comment::Hash)]).remove(0);
+    for (name, flaps) in [("a list that stands", false), ("a list that flaps every 10 ms", true)] {
+        let mut wide = settings(60_000.0);
+        for key in ["Places", "Racks"] {
+            wide["FamilyInfo"][key] = json!(1000);
+        }
+        let front = "[whip]\nlisten = \"127.0.0.1:0\"\n[watch]\nservers = \"servers.toml\"\n";
+        let title = "[[title]]\nname = \"one\"\nclass = \"clip\"\nhome = 0\ncopies = 1\n";
+        let list = String::from_utf8_lossy(&whole);
+        let program =
+            Program::operator_of(&format!("{front}{title}"), &wide, &[("servers.toml", &list)], &["http"]);
+        let path = program.files.0.join("servers.toml");
+        let (stop, lines) = (Arc::new(AtomicBool::new(false)), program.log.clone());
+        let writer = flaps.then(|| {
+            let (stop, whole) = (stop.clone(), whole.clone());
+            std::thread::spawn(move || {
+                let mut round = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    let end = [whole.len() / 2, whole.len(), whole.len() - 1][round % 3];
+                    fs::write(&path, &whole[..end]).unwrap();
+                    round += 1;
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+            })
+        });
+        let mut waits = Histogram::<u64>::new(3).unwrap();
+        let mut stream = TcpStream::connect(program.fronts["http"]).unwrap();
+        let (began, offer) =
+            (Instant::now(), "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n");
+        let (cpu, logged) = (spent(program.pid()), lines.0.lock().unwrap().len());
+        while began.elapsed() < FLAPPING {
+            let asked = Instant::now();
+            stream.write_all(&http("POST", "/whep/one", Some(offer))).unwrap();
+            let made = reply(&mut stream).expect("each request is answered");
+            waits.record((asked.elapsed().as_micros() as u64).max(1)).unwrap();
+            if let Some(place) = made.header("location") {
+                stream.write_all(&http("DELETE", place, None)).unwrap();
+                reply(&mut stream).expect("each request is answered");
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        stop.store(true, Ordering::Relaxed);
+        let (cpu, logged) = (spent(program.pid()) - cpu, lines.0.lock().unwrap().len() - logged);
+        writer.into_iter().for_each(|w| w.join().unwrap());
+        let ms = |q: f64| waits.value_at_quantile(q) as f64 / 1000.0;
+        println!(
+            "{name}: set-ups wait p50 {:.2} ms, p99 {:.2} ms, most {:.1} ms; {:.0}% of a core, {logged} lines in {} s",
+            ms(0.5),
+            ms(0.99),
+            ms(1.0),
+            100.0 * cpu.as_secs_f64() / FLAPPING.as_secs_f64(),
+            FLAPPING.as_secs(),
+        );
+    }
+}
+
 /// Processor time of all threads, from the system's own books.
 fn spent(pid: u32) -> Duration {
     let tasks = fs::read_dir(format!("/proc/{pid}/task")).unwrap();
@@ -159,8 +232,7 @@
     let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
         "known": known(&[&edge]), "settings": settings(1000.0)});
     let now = Path::new(env!("CARGO_BIN_EXE_amberspindle"));
-    let mut figures: Vec<(&str, Vec<f64>, Vec<f64>, Vec<f64>)> =
-        vec![("before", vec![], vec![], vec![]), ("now", vec![], vec![], vec![])];
+    let mut figures = [("before", [const { Vec::new() }; 3]), ("now", [const { Vec::new() }; 3])];
     for _ in 0..STARTS {
         for (i, program) in [before, now].into_iter().enumerate() {
             let files = tempdir::Dir::new();
@@ -169,16 +241,16 @@
             command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
             let began = Instant::now();
             let program = Program::start(command, files, &["viewer"]);
-            figures[i].1.push(began.elapsed().as_secs_f64() * 1e3);
-            figures[i].2.push(spent(program.pid()).as_secs_f64() * 1e3);
-            figures[i].3.push(resident_kb(program.pid()) as f64);
+            figures[i].1[0].push(began.elapsed().as_secs_f64() * 1e3);
+            figures[i].1[1].push(spent(program.pid()).as_secs_f64() * 1e3);
+            figures[i].1[2].push(resident_kb(program.pid()) as f64);
         }
     }
-    let median = |of: &mut Vec<f64>| {
+    let median = |of: &mut Vec<f64>| -> f64 {
         of.sort_by(f64::total_cmp);
         of[of.len() / 2]
     };
-    for (name, wall, cpu, memory) in &mut figures {
+    for (name, [wall, cpu, memory]) in &mut figures {
         let (wall, cpu, memory) = (median(wall), median(cpu), median(memory));
         println!(
             "start on the platform, {name}: {wall:.2} ms to listen, {cpu:.2} ms of processor time, {memory:.0} KiB resident (medians of {STARTS})"
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -208,7 +208,9 @@
         let mut lines = news.servers;
         // What is named is not dropped, whatever is said of it.
         if !self.leaving.is_empty() {
-            lines.iter().for_each(|l| drop(self.leaving.remove(&l.entry.id)));
+            for line in &lines {
+                self.leaving.remove(&line.entry.id);
+            }
         }
         if whole {
             let named: BTreeSet<&ServerId> = lines.iter().map(|l| &l.entry.id).collect();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -248,7 +248,12 @@
 
     /// Starts it with an operator's file: the text, and the settings that are put in.
     pub fn operator(text: &str, deadline: f64, extra: &[(&str, &str)], fronts: &[&str]) -> Program {
-        let settings = toml::to_string(&json!({"settings": settings(deadline)})).unwrap();
+        Program::operator_of(text, &settings(deadline), extra, fronts)
+    }
+
+    /// The same with settings of the caller's.
+    pub fn operator_of(text: &str, settings: &Value, extra: &[(&str, &str)], fronts: &[&str]) -> Program {
+        let settings = toml::to_string(&json!({"settings": settings})).unwrap();
         let files = tempdir::Dir::new();
         for (name, text) in extra {
             files.write(name, text);
