--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -519,10 +519,7 @@
     for news in known {
         files::hear(&shared, Source::Board, news);
     }
-    // Servers leave a list by and by only where it comes from files or passes to another source.
-    if watched.is_some() || config.eureka.is_some() {
-        shared.executor.spawn(files::keep(shared.clone(), watched.clone())).detach();
-    }
+    shared.executor.spawn(files::keep(shared.clone(), watched.clone())).detach();
     shared.executor.spawn(follow(shared.clone())).detach();
     // A third for viewers is the platform's share; the rest is for servers and what is closing.
     let most = config.sockets / 2;
