Speak WHIP and WHEP to media servers, and pass trickle ICE through

Towards edge servers the broker spoke only the platform's binary messages, which no media server elsewhere knows; towards clients PATCH was answered 405 and nothing told of ICE servers.

A list may give a server a url in place of an address: set-ups then go out as POSTs over a bounded pool of connections (edge), a module free of I/O reads from each outcome whether it proves that nothing ran (edge::proof), and ends go out as DELETEs that are repeated until heard. An attempt that was given up is read on, and a session that it still makes is ended at once; so is one whose answer broke off behind its Location or can't be used. Load comes from endpoint-load-metrics, layers are chosen where the server has a place for it.

Clients get PATCH with If-Match (428, 412, 204, 200 with a new entity tag for an ICE restart), Link to ICE servers from the settings and from the server, problem bodies with stable codes, 100 Continue, absolute-form targets, and answers to HEAD without a body; a request without exactly one Host is refused.

--- a/benches/roster.rs
+++ b/benches/roster.rs
@@ -32,7 +32,7 @@
     let mut entry =
         ServerEntry::new(ServerId::new(&format!("box-{n:06}")), ServerState::Ready, (n % 64) as u32);
     entry.weight = weight;
-    Listed { entry, address: address(n) }
+    Listed::new(entry, address(n))
 }
 
 /// A list in which one server's weight is told apart from the others'.
--- a/src/board.rs
+++ b/src/board.rs
@@ -182,5 +182,5 @@
     // Nothing is sent to one that is gone, wherever it was.
     let nowhere = (state == ServerState::Gone).then_some((Ipv4Addr::UNSPECIFIED, 0).into());
     let address = text("endpoint").and_then(|endpoint| endpoint.parse().ok()).or(nowhere)?;
-    Some(Listed { entry, address })
+    Some(Listed::new(entry, address))
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -125,6 +125,7 @@
         reclaim: ms(record.reclaim_ms, 10_000),
         spent: ms(record.spent_ms, 24 * 3_600_000),
         most_bookings: record.most_bookings.unwrap_or(100_000) as usize,
+        ice: record.ice_server.iter().map(|server| server.link()).collect(),
     };
     Whip { listen: record.listen.0, setup }
 }
--- a/src/eureka.rs
+++ b/src/eureka.rs
@@ -6,8 +6,8 @@
 
 use serde_json::{Value, json};
 
-use crate::api::{ListKind, Micros, ServerEntry, ServerId, ServerState};
-use crate::http::client;
+use crate::api::{ListKind, Micros, ServerEntry, ServerId, ServerState, Text};
+use crate::http::{client, uri};
 use crate::roster::{Listed, Names, News};
 
 /// How a broker takes part in a registry.
@@ -237,7 +237,8 @@
         let up = number(value.get("leaseInfo").and_then(|l| l.get("serviceUpTimestamp")));
         entry.up_since = up.filter(|ms| *ms > 0.0).map(Micros::from_ms);
         let port = (1.0..=65535.0).contains(&port).then_some(port as u16)?;
-        Some(Listed { entry, address: SocketAddr::new(host, port) })
+        let path = metadata("whep").and_then(Value::as_str).filter(|p| uri::is_path(p)).map(Text::from);
+        Some(Listed { entry, address: SocketAddr::new(host, port), path })
     }
 }
 
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -39,6 +39,11 @@
         Ok(Some((Head { start, headers }, end + 4)))
     }
 
+    /// All headers, in order.
+    pub fn headers(&self) -> impl Iterator<Item = (&'a str, &'a str)> {
+        self.headers.iter().copied()
+    }
+
     /// A header's value; names are compared without case.
     pub fn header(&self, name: &str) -> Option<&'a str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| *v)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod head;
 pub mod server;
 pub mod sse;
+pub mod uri;
 
 use std::fmt;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -16,6 +16,8 @@
     pub origin: Option<String>,
     /// A condition on the entity tag.
     pub if_match: Option<String>,
+    /// The client waits for a word before it sends the body.
+    pub expects: bool,
     /// The connection may be used again.
     pub keep_alive: bool,
     /// The body.
@@ -52,6 +54,16 @@
         self.open.is_some() || !self.buffer.is_empty()
     }
 
+    /// Whether a client waits for a word before it sends a body that may be so long; told once for each request.
+    pub fn expects(&mut self, largest: usize) -> bool {
+        let Some((request, body)) = &mut self.open else { return false };
+        let fits = match body {
+            Body::Length(n) => *n <= largest,
+            Body::Chunked(_) => true,
+        };
+        fits && self.buffer.is_empty() && request.body.is_empty() && std::mem::take(&mut request.expects)
+    }
+
     /// The next whole request, or none until more bytes come. A body may be so long.
     pub fn next_request(&mut self, largest: usize) -> Result<Option<Request>, HttpError> {
         if self.open.is_none() {
@@ -90,6 +102,11 @@
         v if v.starts_with("HTTP/") => return Err(HttpError::BadVersion),
         _ => return Err(HttpError::BadHead),
     };
+    // RFC 9112, 3.2: one Host, no more and no fewer, or two readers could disagree on whom it is for.
+    let hosts = head.headers().filter(|(name, _)| name.eq_ignore_ascii_case("host")).count();
+    if hosts > 1 || hosts == 0 && version == "HTTP/1.1" {
+        return Err(HttpError::BadHead);
+    }
     let body = match head.framing()? {
         Framing::None => Body::Length(0),
         Framing::Length(n) => Body::Length(n),
@@ -103,6 +120,7 @@
         content_type: content_type.map(|t| t.trim().to_ascii_lowercase()),
         origin: text("origin"),
         if_match: text("if-match"),
+        expects: version == "HTTP/1.1" && head.names("expect", "100-continue"),
         keep_alive,
         body: Vec::new(),
     };
@@ -128,6 +146,14 @@
         Response { status, headers, body }
     }
 
+    /// With a problem's body (RFC 9457): a code that stays the same, and a line for people.
+    pub fn problem(status: u16, code: &str, line: &str) -> Response {
+        let body =
+            serde_json::json!({"type": format!("urn:amberspindle:{code}"), "title": line, "status": status});
+        let headers = vec![("Content-Type", "application/problem+json".to_owned())];
+        Response { status, headers, body: body.to_string().into_bytes() }
+    }
+
     /// With one more header.
     pub fn with(mut self, name: &'static str, value: impl ToString) -> Response {
         self.headers.push((name, value.to_string()));
@@ -157,9 +183,12 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         409 => "Conflict",
+        406 => "Not Acceptable",
         412 => "Precondition Failed",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
+        422 => "Unprocessable Content",
+        428 => "Precondition Required",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod broker;
 pub mod config;
 pub mod disk;
+pub mod edge;
 pub mod eureka;
 pub mod hook;
 pub mod http;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -34,6 +34,9 @@
 /// How long sessions that play may keep a broker up that was told to stop.
 const LINGER: Micros = Micros(30_000_000);
 
+/// So long servers have at the end to hear that what stood there is over.
+const LAST_ENDS: Micros = Micros(2_000_000);
+
 /// A call to the registry that takes longer has failed.
 const CALL: Duration = Duration::from_secs(3);
 
@@ -570,8 +573,12 @@
             registry.await;
         }
         step(&shared, |node, now, out| node.end(now, out));
-        // Last words are still on their way out.
+        // Last words are still on their way out; ends that are told over HTTP are waited for.
+        let ended = shared.now();
         Timer::after(Duration::from_millis(50)).await;
+        while shared.node.borrow().ending() > 0 && shared.now() < ended + LAST_ENDS {
+            Timer::after(Duration::from_millis(20)).await;
+        }
         info!(event = "stopped");
     };
     async_io::block_on(shared.executor.run(stop));
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::broker::{Broker, Description, Effect, Input, SetUp};
 use crate::config::Config;
+use crate::edge::{Pool, Told};
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, Server, status};
@@ -91,6 +92,8 @@
     names: Names,
     settings: Settings,
     links: Links,
+    /// Servers that speak WHIP or WHEP.
+    pool: Pool,
     viewers: BTreeMap<ConnId, ViewerConn>,
     whip: Option<whip::Front>,
     hook: Option<Hook>,
@@ -115,6 +118,7 @@
             names: config.names.clone(),
             settings: config.settings.clone(),
             links: Links::new(config.idle, tell, see),
+            pool: Pool::default(),
             viewers: BTreeMap::new(),
             whip: config.whip.as_ref().map(|w| {
                 whip::Front::new(w.setup.clone(), config.settings.classes.clone(), config.seed ^ WHIP_SEED)
@@ -173,7 +177,8 @@
     /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
     pub fn remembered(&self) -> usize {
         let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
-        let others = [self.links.remembered(), self.links.len(), self.broker.remembered()];
+        let others =
+            [self.links.remembered(), self.links.len(), self.pool.remembered(), self.broker.remembered()];
         own.into_iter().chain(others).max().unwrap_or(0)
     }
 
@@ -197,13 +202,14 @@
 
     /// When [`Node::tick`] is wanted next.
     pub fn next_alarm(&self) -> Micros {
-        let alarms = [self.broker.next_alarm(), self.links.next_due()];
+        let alarms = [self.broker.next_alarm(), self.links.next_due(), self.pool.next_due()];
         alarms.into_iter().flatten().fold(self.look_at, Micros::min)
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.links.write_due(now, out);
+        self.pool.tick(now, out);
         self.tell(now, Input::Tick, out);
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
@@ -230,8 +236,8 @@
     ) {
         let mut wishes = Vec::new();
         if let Some(whip) = &mut self.whip {
-            let (broker, links) = (&self.broker, &self.links);
-            act(whip, &|id| broker.untried(id) || links.waits(id), &mut wishes);
+            let (broker, links, pool) = (&self.broker, &self.links, &self.pool);
+            act(whip, &|id| broker.untried(id) || links.waits(id) || pool.waits(id), &mut wishes);
         }
         for wish in wishes {
             match wish {
@@ -241,10 +247,26 @@
                     out.extend(pieces.into_iter().map(|piece| Command::Write(conn, piece, tag)));
                 }
                 Wish::Close(conn, reason) => out.push(Command::Close(conn, reason)),
+                Wish::Patch { conn, id, any, body } => self.pass_patch(now, conn, id, any, &body, out),
             }
         }
     }
 
+    /// A fragment of trickle ICE goes to the session's server, if that takes any.
+    fn pass_patch(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        id: SessionId,
+        any: bool,
+        body: &[u8],
+        out: &mut Vec<Command>,
+    ) {
+        if !self.pool.patch(now, conn, id, any, body, out) {
+            self.whip(now, out, |whip, _, wishes| whip.unpatchable(conn, id, wishes));
+        }
+    }
+
     fn owned_by_whip(&self, id: SessionId) -> bool {
         self.whip.as_ref().is_some_and(|whip| whip.owns(id))
     }
@@ -295,8 +317,9 @@
 
     /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
     fn look(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let busy: Vec<ServerId> =
-            self.servers.keys().filter(|s| self.broker.stands_any(s)).cloned().collect();
+        // Those that speak WHIP or WHEP have no connection of their own to be heard on.
+        let spoken = self.servers.keys().filter(|s| !self.pool.serves(s));
+        let busy: Vec<ServerId> = spoken.filter(|s| self.broker.stands_any(s)).cloned().collect();
         let connected = self.links.connected();
         for server in self.links.silent(now, busy.iter().cloned()) {
             self.check(now, &server, out);
@@ -322,11 +345,24 @@
             for id in &lost {
                 self.servers.remove(id);
                 self.links.forget(id);
+                self.pool.forget(id);
             }
         }
         for listed in &news.servers {
             let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
-            lost.extend(self.links.listed(id, listed.address, state, out));
+            match &listed.path {
+                Some(path) => {
+                    let other = self.links.knows(id) || self.pool.listed(id, listed.address, path, state);
+                    self.links.forget(id);
+                    lost.extend(other.then(|| id.clone()));
+                }
+                None => {
+                    let other = self.pool.serves(id) && state != ServerState::Gone;
+                    self.pool.forget(id);
+                    lost.extend(other.then(|| id.clone()));
+                    lost.extend(self.links.listed(id, listed.address, state, out));
+                }
+            }
             // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
             // reset its connections: they may stay open and silent.
             let before = self.servers.insert(id.clone(), (state, up));
@@ -338,6 +374,7 @@
             }
         }
         for server in lost {
+            self.pool.lost(now, &server, false, out);
             self.tell(now, Input::Lost(server), out);
         }
         let servers = news.servers.into_iter().map(|l| l.entry).collect();
@@ -369,6 +406,7 @@
     /// A connection to a server has come up.
     pub fn opened(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
         self.links.opened(now, conn, out);
+        self.pool.opened(now, conn, out);
     }
 
     /// Bytes came on a connection.
@@ -380,6 +418,11 @@
             }
             return;
         }
+        if self.pool.has(conn) {
+            let mut told = Vec::new();
+            self.pool.bytes(now, conn, bytes, &mut told, out);
+            return self.told(now, told, out);
+        }
         if self.whip.as_ref().is_some_and(|whip| whip.has(conn)) {
             self.whip(now, out, |whip, sure, wishes| whip.bytes(now, conn, bytes, sure, wishes));
             return;
@@ -444,6 +487,11 @@
             self.whip(now, out, |whip, _, wishes| whip.closed(now, conn, unfinished, wishes));
             return;
         }
+        if self.pool.has(conn) {
+            let mut told = Vec::new();
+            self.pool.closed(now, conn, how, &mut told, out);
+            return self.told(now, told, out);
+        }
         let Some(Broken { server, over, server_is }) = self.links.closed(now, conn, how) else { return };
         for (id, status) in over {
             let load = Load::default();
@@ -461,6 +509,37 @@
         }
     }
 
+    /// What servers that speak WHIP or WHEP tell.
+    fn told(&mut self, now: Micros, told: Vec<Told>, out: &mut Vec<Command>) {
+        for told in told {
+            match told {
+                Told::Answer(id, server, answer) => self.tell(now, Input::Stands { id, server, answer }, out),
+                Told::Over(id, server, status, load) => {
+                    self.tell(now, Input::Over { id, server, status, load }, out);
+                }
+                Told::Note(id, server, note) => self.tell(now, Input::Note { id, server, note }, out),
+                Told::Refused(server) => {
+                    // One that drains may turn connections down while its sessions play.
+                    let ready = self.servers.get(&server).is_some_and(|(s, _)| *s == ServerState::Ready);
+                    if ready && self.broker.stands_any(&server) {
+                        self.pool.lost(now, &server, true, out);
+                        self.tell(now, Input::Lost(server), out);
+                    }
+                }
+                Told::Patched(conn, id, answer) => {
+                    self.whip(now, out, |whip, _, wishes| whip.patched(conn, id, answer, wishes));
+                    self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
+                }
+                Told::Log(line) => self.log.push(line),
+            }
+        }
+    }
+
+    /// Ends that servers have not heard yet.
+    pub fn ending(&self) -> usize {
+        self.pool.ending()
+    }
+
     fn said(&mut self, now: Micros, conn: ConnId, said: Said, out: &mut Vec<Command>) {
         match said {
             Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, !self.stopping), out),
@@ -545,7 +624,8 @@
         self.observed(&effect);
         match effect {
             Effect::Plays(id, answer) if self.owned_by_whip(id) => {
-                self.whip(now, out, |whip, _, wishes| whip.plays(now, id, answer, wishes));
+                let ice = self.pool.ice(id).to_vec();
+                self.whip(now, out, |whip, _, wishes| whip.plays(now, id, answer, ice, wishes));
                 self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
             }
             Effect::Refused(id, wait) if self.owned_by_whip(id) => {
@@ -560,6 +640,9 @@
                 self.whip(now, out, |whip, _, _| whip.over(now, id));
             }
             Effect::SetUp(set_up) => self.send(now, &set_up, out),
+            Effect::GiveUp(id, _) if self.pool.holds(id) => self.pool.give_up(now, id, out),
+            Effect::Cut(id, _) if self.pool.holds(id) => self.pool.release(now, id, out),
+            Effect::Rate(id, _, rung) if self.pool.holds(id) => self.pool.rate(now, id, rung, out),
             Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
             Effect::Cut(id, server) => self.links.release(now, id, &server, out),
             Effect::Rate(id, server, rung) => self.links.rate(now, id, &server, rung, out),
@@ -602,7 +685,12 @@
 
     fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
         let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
-        if let Err(status) = self.links.set_up(now, set_up, &class, out) {
+        let sent = if self.pool.serves(&set_up.server) {
+            self.pool.set_up(now, set_up, &class, out)
+        } else {
+            self.links.set_up(now, set_up, &class, out)
+        };
+        if let Err(status) = sent {
             let (id, server, load) = (set_up.id, set_up.server.clone(), Load::default());
             self.tell(now, Input::Over { id, server, status, load }, out);
         }
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -274,6 +274,11 @@
         }
     }
 
+    /// Whether a server is one of these.
+    pub fn knows(&self, server: &ServerId) -> bool {
+        self.addresses.contains_key(server)
+    }
+
     /// Whether it is one of these connections.
     pub fn has(&self, conn: ConnId) -> bool {
         self.links.contains_key(&conn)
--- a/src/records/lists.rs
+++ b/src/records/lists.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::source::key;
-use super::{Address, Findings, Source};
+use super::{Address, EdgeUrl, Findings, Source};
 use crate::api;
 use crate::roster::Names;
 
@@ -94,11 +94,16 @@
     /// Its name, the same as long as it is the same machine.
     #[garde(custom(|text: &String, _: &Bounds| good_name(text)))]
     pub id: String,
-    /// Where it listens.
-    #[garde(custom(|address: &Address, _: &Bounds| {
+    /// Where it listens for the platform's messages; left out where there is a `url`.
+    #[garde(inner(custom(|address: &Address, _: &Bounds| {
         if address.0.port() == 0 { Err(garde::Error::new("port 0")) } else { Ok(()) }
-    }))]
-    pub address: Address,
+    })))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<Address>,
+    /// Where it takes WHIP or WHEP set-ups, in place of an address.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub url: Option<EdgeUrl>,
     /// The cell that it stands in, from 0; its rack is the cell modulo the number of racks.
     #[garde(custom(|c: &u32, bounds: &Bounds| good_cell(*c, bounds)))]
     pub cell: u32,
@@ -125,6 +130,13 @@
     pub started_ms: Option<u64>,
 }
 
+impl ServerRecord {
+    /// Where it listens, whatever it speaks.
+    pub fn place(&self) -> Option<std::net::SocketAddr> {
+        self.address.map(|a| a.0).or(self.url.as_ref().map(|u| u.address))
+    }
+}
+
 /// A file of servers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -212,9 +224,18 @@
         if server.state == ServerState::Gone {
             continue;
         }
-        if let Some(first) = addresses.insert(server.address, i) {
-            let reason = format!("{} is the address of {} too", server.address.0, servers[first].id);
-            wrong.push((format!("server[{i}].address"), reason));
+        let field = if server.url.is_some() { "url" } else { "address" };
+        let Some(place) = server.place() else {
+            wrong.push((format!("server[{i}].address"), "required, or a url".into()));
+            continue;
+        };
+        if server.address.is_some() && server.url.is_some() {
+            wrong
+                .push((format!("server[{i}].url"), "there is an address too: it is one or the other".into()));
+        }
+        if let Some(first) = addresses.insert(place, i) {
+            let reason = format!("{place} is the address of {} too", servers[first].id);
+            wrong.push((format!("server[{i}].{field}"), reason));
         }
     }
 }
--- a/src/records/mod.rs
+++ b/src/records/mod.rs
@@ -8,7 +8,7 @@
 
 pub use lists::{Bounds, ServerRecord, ServerState, ServersFile, TitleRecord, TitlesFile, WeightsFile};
 pub use operator::{
-    EurekaRecord, HookRecord, LimitsRecord, OperatorFile, PlatformRecord, WatchRecord, WhipRecord,
+    EurekaRecord, HookRecord, IceRecord, LimitsRecord, OperatorFile, PlatformRecord, WatchRecord, WhipRecord,
 };
 pub use settings::SettingsRecord;
 pub use source::Source;
@@ -107,6 +107,57 @@
     }
 }
 
+/// Where a server takes WHIP or WHEP set-ups: `http://IP:PORT/PATH`, with `{title}`, `{rung}`, `{class}` and
+/// `{session}` in the path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EdgeUrl {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The path, with what stands for the set-up's words.
+    pub path: String,
+}
+
+/// What a path may hold in braces.
+const PLACES: [&str; 4] = ["title", "rung", "class", "session"];
+
+impl EdgeUrl {
+    fn parse(text: &str) -> Option<EdgeUrl> {
+        let rest = text.strip_prefix("http://")?;
+        let (address, path) = rest.split_at(rest.find('/')?);
+        let words = |piece: &str| piece.split_once('}').is_some_and(|(word, _)| PLACES.contains(&word));
+        let mut pieces = path.split('{');
+        let first = pieces.next()?;
+        let good = !first.contains('}') && pieces.all(words) && crate::http::uri::is_path(path);
+        Some(EdgeUrl { address: address.parse().ok()?, path: path.to_owned() }).filter(|_| good)
+    }
+}
+
+impl<'de> Deserialize<'de> for EdgeUrl {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<EdgeUrl, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let form =
+            "not of the form http://IP:PORT/PATH, with {title}, {rung}, {class} or {session} in the path";
+        EdgeUrl::parse(&text).ok_or_else(|| de::Error::custom(form))
+    }
+}
+
+impl Serialize for EdgeUrl {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("http://{}{}", self.address, self.path))
+    }
+}
+
+impl JsonSchema for EdgeUrl {
+    fn schema_name() -> std::borrow::Cow<'static, str> {
+        "EdgeUrl".into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({"type": "string", "pattern": "^http://[^/]+/",
+            "description": "http://IP:PORT/PATH, with {title}, {rung}, {class} or {session} in the path"})
+    }
+}
+
 /// The JSON Schema of a kind of file: `operator`, `servers`, `weights` or `titles`.
 pub fn schema(of: &str) -> Option<serde_json::Value> {
     let schema = match of {
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -120,6 +120,52 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub most_bookings: Option<u64>,
+    /// ICE servers that every client is told of.
+    #[garde(dive)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ice_server: Vec<IceRecord>,
+}
+
+/// An ICE server (RFC 9725, 4.6).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct IceRecord {
+    /// Its URL: `stun:`, `stuns:`, `turn:` or `turns:`.
+    #[garde(custom(|url: &String, _: &()| {
+        let scheme = ["stun:", "stuns:", "turn:", "turns:"].iter().any(|s| url.starts_with(s));
+        let plain = url.bytes().all(|b| b.is_ascii_graphic() && !b"<>\"".contains(&b));
+        if scheme && plain { Ok(()) } else { Err(garde::Error::new("no URL of a STUN or TURN server")) }
+    }))]
+    pub url: String,
+    /// The user's name, for TURN.
+    #[garde(inner(custom(quotable)))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub username: Option<String>,
+    /// The password, for TURN.
+    #[garde(inner(custom(quotable)))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub credential: Option<String>,
+}
+
+fn quotable(text: &str, _: &()) -> garde::Result {
+    let good = text.bytes().all(|b| (b.is_ascii_graphic() || b == b' ') && b != b'"' && b != b'\\');
+    if good { Ok(()) } else { Err(garde::Error::new("holds what can't stand in a header")) }
+}
+
+impl IceRecord {
+    /// As the value of a `Link` header.
+    pub fn link(&self) -> String {
+        let mut link = format!("<{}>; rel=\"ice-server\"", self.url);
+        for (name, value) in [("username", &self.username), ("credential", &self.credential)] {
+            if let Some(value) = value {
+                link += &format!("; {name}=\"{value}\"");
+            }
+        }
+        if self.credential.is_some() {
+            link += "; credential-type=\"password\"";
+        }
+        link
+    }
 }
 
 /// `[eureka]`.
--- a/src/roster/listed.rs
+++ b/src/roster/listed.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::api::{ListKind, ServerEntry};
+use crate::api::{ListKind, ServerEntry, Text};
 
 /// Names that the settings give to what the core counts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -31,6 +31,15 @@
     pub entry: ServerEntry,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The path of set-ups, if it speaks WHIP or WHEP; none: it speaks the platform's messages.
+    pub path: Option<Text>,
+}
+
+impl Listed {
+    /// A server that speaks the platform's messages.
+    pub fn new(entry: ServerEntry, address: SocketAddr) -> Listed {
+        Listed { entry, address, path: None }
+    }
 }
 
 /// A change of the list.
--- a/src/roster/tests.rs
+++ b/src/roster/tests.rs
@@ -9,7 +9,7 @@
 
 fn line(id: &str, port: u16) -> Listed {
     let entry = ServerEntry::new(ServerId::new(id), ServerState::Ready, 0);
-    Listed { entry, address: ([127, 0, 0, 1], port).into() }
+    Listed::new(entry, ([127, 0, 0, 1], port).into())
 }
 
 fn with(mut listed: Listed, state: ServerState) -> Listed {
--- a/src/watch/judge.rs
+++ b/src/watch/judge.rs
@@ -276,5 +276,6 @@
     entry.zone = index(&names.zones, &record.zone) as u32;
     entry.weight = weight.or(record.weight).unwrap_or(1.0);
     entry.up_since = record.started_ms.map(|ms| Micros(ms.saturating_mul(1000)));
-    Listed { entry, address: record.address.0 }
+    let path = record.url.as_ref().map(|url| url.path.as_str().into());
+    Listed { entry, address: record.place().unwrap_or((std::net::Ipv4Addr::UNSPECIFIED, 0).into()), path }
 }
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -9,7 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-pub use route::{Route, encode};
+pub use route::Route;
+
+pub use crate::http::uri::encode;
 
 use crate::api::{Class, Micros, Request, Rung, SessionId, Text};
 use crate::broker::{Description, Failure, Input};
@@ -24,6 +26,8 @@
 const UNFINISHED: Micros = Micros(10_000_000);
 /// What a client that is refused without advice is told, in seconds.
 const RETRY_S: u64 = 1;
+/// A browser may remember for so many seconds what it may ask.
+const PREFLIGHT_S: u64 = 600;
 /// Bytes that a client may send ahead of the answer it waits for.
 const MOST_AHEAD: usize = 64 * 1024;
 
@@ -53,6 +57,8 @@
     pub spent: Micros,
     /// Bookings remembered at most; beyond that new ones are refused.
     pub most_bookings: usize,
+    /// `Link` headers that name ICE servers, for every answer.
+    pub ice: Vec<String>,
 }
 
 /// What the front wants done.
@@ -64,6 +70,17 @@
     Write(ConnId, [Vec<u8>; 2], Option<SessionId>),
     /// End a connection once all is written.
     Close(ConnId, &'static str),
+    /// Pass a fragment of trickle ICE on to the session's server; its answer comes by [`Front::patched`].
+    Patch {
+        /// Who waits for it.
+        conn: ConnId,
+        /// The session.
+        id: SessionId,
+        /// Whatever the server's entity tag is.
+        any: bool,
+        /// The fragment.
+        body: Vec<u8>,
+    },
 }
 
 #[derive(Default)]
@@ -76,6 +93,8 @@
     begun: Option<Micros>,
     /// It has asked something whole.
     spoke: bool,
+    /// What it asked last was a HEAD.
+    head_only: bool,
     closing: bool,
 }
 
@@ -90,6 +109,10 @@
     booking: Option<BookingId>,
     waiters: BTreeSet<ConnId>,
     answer: Option<Description>,
+    /// `Link` headers that came with the answer.
+    ice: Vec<String>,
+    /// Counts ICE sessions, for the entity tag.
+    ice_session: u32,
     /// Nobody has heard of the session: it ends at this time.
     lost_at: Option<Micros>,
 }
@@ -207,11 +230,19 @@
                     self.request(now, conn, request, nothing_ran, out);
                 }
                 Ok(None) => {
+                    if c.decoder.expects(LONGEST_OFFER) {
+                        out.push(Wish::Write(
+                            conn,
+                            [b"HTTP/1.1 100 Continue\r\n\r\n".to_vec(), Vec::new()],
+                            None,
+                        ));
+                    }
                     c.begun = if c.decoder.begun() { c.begun.or(Some(now)) } else { None };
                     return;
                 }
                 Err(error) => {
-                    let response = Response::text(error.status(), error.code());
+                    let response =
+                        Response::problem(error.status(), error.code(), "the request can't be read");
                     return self.respond(conn, response, false, None, out);
                 }
             }
@@ -228,10 +259,15 @@
     ) {
         let response = response
             .with("Access-Control-Allow-Origin", &self.setup.origin)
-            .with("Access-Control-Expose-Headers", "Location, ETag, Retry-After, Allow");
+            .with("Access-Control-Expose-Headers", EXPOSED);
         let status = response.status;
         let keep_alive = keep_alive && !self.stopping;
-        out.push(Wish::Write(conn, response.encode(keep_alive), carries));
+        let mut pieces = response.encode(keep_alive);
+        // The answer to HEAD has the head of another method's answer and no body (RFC 9110, 9.3.2).
+        if self.conns.get_mut(&conn).is_some_and(|c| std::mem::take(&mut c.head_only)) {
+            pieces[1].clear();
+        }
+        out.push(Wish::Write(conn, pieces, carries));
         if !keep_alive {
             if let Some(c) = self.conns.get_mut(&conn) {
                 c.closing = true;
@@ -250,6 +286,9 @@
         out: &mut Vec<Wish>,
     ) {
         let keep = request.keep_alive;
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.head_only = request.method == "HEAD";
+        }
         let route = Route::parse(&request.target);
         let known = |name: &str| self.setup.titles.get(name).cloned();
         let title = match &route {
@@ -260,14 +299,16 @@
             Some(Route::Session(_)) => Some((String::new(), None)),
         };
         let (Some(route), Some((name, title))) = (route, title) else {
-            return self.respond(conn, Response::text(404, "no such resource"), keep, None, out);
+            return self.respond(
+                conn,
+                Response::problem(404, "no-resource", "no such resource"),
+                keep,
+                None,
+                out,
+            );
         };
         let response = match (request.method.as_str(), route, title) {
-            ("OPTIONS", route, _) => Response::text(204, "")
-                .with("Allow", route.methods())
-                .with("Accept-Post", "application/sdp")
-                .with("Access-Control-Allow-Methods", route.methods())
-                .with("Access-Control-Allow-Headers", "Content-Type, If-Match, Authorization"),
+            ("OPTIONS", route, _) => options(&route, &self.setup.ice),
             ("POST", Route::Title(_), Some(title)) => {
                 match self.post(now, conn, name, &title, None, request, out) {
                     Some(response) => response,
@@ -281,17 +322,20 @@
                 }
             }
             ("DELETE", Route::Session(id), _) => {
-                let standing = self.sessions.get(&id).is_some_and(|s| s.answer.is_some());
-                let tag = request.if_match.as_deref();
-                if !standing {
-                    Response::text(404, "no such session")
-                } else if tag.is_some_and(|t| t != "*" && t != etag(id)) {
-                    Response::text(412, "another entity tag")
-                } else {
-                    self.end(now, id, false, out);
-                    Response::text(200, "")
+                let session = self.sessions.get(&id).filter(|s| s.answer.is_some());
+                match session.map(|s| etag(id, s.ice_session)) {
+                    None => no_session(),
+                    Some(tag) if request.if_match.as_deref().is_some_and(|t| !matches(t, &tag)) => stale(),
+                    Some(_) => {
+                        self.end(now, id, false, out);
+                        Response::text(200, "")
+                    }
                 }
             }
+            ("PATCH", Route::Session(id), _) => match self.patch(conn, id, request, out) {
+                Some(response) => response,
+                None => return,
+            },
             ("DELETE", Route::Booking(_, booking), _) => {
                 let held = match self
                     .bookings
@@ -302,14 +346,14 @@
                     _ => None,
                 };
                 match held {
-                    None => Response::text(404, "no such session"),
+                    None => no_session(),
                     Some(id) => {
                         self.end(now, id, nothing_ran(id), out);
                         Response::text(200, "")
                     }
                 }
             }
-            (_, route, _) => Response::text(405, "not for this resource").with("Allow", route.methods()),
+            (_, route, _) => not_allowed(route.methods()),
         };
         self.respond(conn, response, keep, None, out);
     }
@@ -329,17 +373,25 @@
         let class = self.classes.get(title.class)?;
         let paid = class.effect != crate::api::Effect::Safe;
         if request.content_type.as_deref() != Some("application/sdp") {
-            let response = Response::text(415, "the body must be application/sdp");
+            let response = Response::problem(415, "not-sdp", "the body must be application/sdp");
             return Some(response.with("Accept-Post", "application/sdp"));
         }
         let offer =
             std::str::from_utf8(&request.body).ok().filter(|o| o.starts_with("v=0") && o.contains("\nm="));
         if offer.is_none() {
-            return Some(Response::text(400, "the body is no session description"));
+            return Some(Response::problem(400, "no-description", "the body is no session description"));
         }
         match (paid, &booking) {
-            (true, None) => return Some(Response::text(400, "this title is set up at the URL of a booking")),
-            (false, Some(_)) => return Some(Response::text(404, "this title takes no bookings")),
+            (true, None) => {
+                return Some(Response::problem(
+                    400,
+                    "no-booking",
+                    "this title is set up at the URL of a booking",
+                ));
+            }
+            (false, Some(_)) => {
+                return Some(Response::problem(404, "no-bookings", "this title takes no bookings"));
+            }
             _ => {}
         }
         let key = booking.map(|booking| BookingId { title: name.clone(), name: booking });
@@ -347,16 +399,24 @@
             && let Some(known) = self.bookings.get(key)
         {
             if known.offer != print(&request.body) {
-                return Some(Response::text(409, "this booking came with another description"));
+                return Some(Response::problem(
+                    409,
+                    "other-description",
+                    "this booking came with another description",
+                ));
             }
             return match known.stage {
-                Stage::Over => Some(Response::text(409, "this booking's session is over")),
-                Stage::Failed(status) => Some(Response::text(status, "the set-up failed and may have run")),
+                Stage::Over => Some(Response::problem(409, "booking-over", "this booking's session is over")),
+                Stage::Failed(status) => {
+                    Some(Response::problem(status, "may-have-run", "the set-up failed and may have run"))
+                }
                 Stage::Held(id) => self.join(conn, id, request.keep_alive),
             };
         }
         if key.is_some() && self.bookings.len() >= self.setup.most_bookings {
-            return Some(Response::text(503, "too many bookings").with("Retry-After", RETRY_S));
+            return Some(
+                Response::problem(503, "too-many-bookings", "too many bookings").with("Retry-After", RETRY_S),
+            );
         }
         let id = std::iter::repeat_with(|| SessionId(self.rng.u64(1..)))
             .find(|id| !self.sessions.contains_key(id))?;
@@ -368,7 +428,10 @@
         (ask.class, ask.tenant, ask.home, ask.top) =
             (title.class, title.tenant, title.home, Rung(usize::MAX));
         let waiters = BTreeSet::from([conn]);
-        self.sessions.insert(id, Session { booking: key, waiters, answer: None, lost_at: None });
+        self.sessions.insert(
+            id,
+            Session { booking: key, waiters, answer: None, ice: Vec::new(), ice_session: 0, lost_at: None },
+        );
         if let Some(c) = self.conns.get_mut(&conn) {
             c.waits = Some((id, request.keep_alive));
         }
@@ -379,11 +442,11 @@
     /// A repeat joins the set-up that is open, or gets the answer that it had.
     fn join(&mut self, conn: ConnId, id: SessionId, keep: bool) -> Option<Response> {
         let Some(session) = self.sessions.get_mut(&id) else {
-            return Some(Response::text(409, "this booking's session is over"));
+            return Some(Response::problem(409, "booking-over", "this booking's session is over"));
         };
         if let Some(answer) = &session.answer {
             session.lost_at = None;
-            return Some(created(id, answer));
+            return Some(created(id, answer, session.ice_session, &session.ice));
         }
         session.waiters.insert(conn);
         if let Some(c) = self.conns.get_mut(&conn) {
@@ -404,7 +467,13 @@
                 self.spend(now, &key, Stage::Over);
             }
         }
-        self.tell_all(id, &session.waiters, &Response::text(409, "the set-up was deleted"), None, out);
+        self.tell_all(
+            id,
+            &session.waiters,
+            &Response::problem(409, "deleted", "the set-up was deleted"),
+            None,
+            out,
+        );
     }
 
     fn spend(&mut self, now: Micros, key: &BookingId, stage: Stage) {
@@ -432,15 +501,103 @@
         }
     }
 
+    /// Trickle ICE and ICE restarts (RFC 9725, 4.3): gives the response, or none if the server is asked.
+    fn patch(
+        &mut self,
+        conn: ConnId,
+        id: SessionId,
+        request: HttpRequest,
+        out: &mut Vec<Wish>,
+    ) -> Option<Response> {
+        let Some(session) = self.sessions.get(&id).filter(|s| s.answer.is_some()) else {
+            return Some(no_session());
+        };
+        if request.content_type.as_deref() != Some(FRAGMENT) {
+            let response =
+                Response::problem(415, "not-a-fragment", "the body must be a trickle ICE fragment");
+            return Some(response.with("Accept-Patch", FRAGMENT));
+        }
+        let Some(asked) = request.if_match.as_deref() else {
+            return Some(Response::problem(428, "no-if-match", "If-Match is required"));
+        };
+        if !matches(asked, &etag(id, session.ice_session)) {
+            return Some(stale());
+        }
+        let fragment = std::str::from_utf8(&request.body).ok();
+        if fragment.is_none_or(|f| !f.lines().any(|l| l.starts_with("a=ice-ufrag:"))) {
+            return Some(Response::problem(400, "no-fragment", "the body is no trickle ICE fragment"));
+        }
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.waits = Some((id, request.keep_alive));
+        }
+        let any = asked.trim() == "*";
+        out.push(Wish::Patch { conn, id, any, body: request.body });
+        None
+    }
+
+    /// The server has answered a fragment; none: it gave no answer.
+    pub fn patched(
+        &mut self,
+        conn: ConnId,
+        id: SessionId,
+        answer: Option<crate::http::client::Response>,
+        out: &mut Vec<Wish>,
+    ) {
+        let response = match answer {
+            None => Response::problem(502, "patch-failed", "the server gave no answer"),
+            Some(answer) => match answer.status {
+                200 => {
+                    // An ICE restart: from now on another entity tag stands for it.
+                    let session = self.sessions.get_mut(&id).map(|s| {
+                        s.ice_session += 1;
+                        s.ice_session
+                    });
+                    let body = Response { status: 200, headers: Vec::new(), body: answer.body };
+                    body.with("Content-Type", FRAGMENT).with("ETag", etag(id, session.unwrap_or_default()))
+                }
+                200..=299 => Response::text(204, ""),
+                405 | 501 => return self.unpatchable(conn, id, out),
+                412 => stale(),
+                status @ (400 | 404 | 409 | 415 | 422 | 428) => {
+                    Response::problem(status, "patch-refused", "the server refused the fragment")
+                }
+                _ => Response::problem(502, "patch-failed", "the server failed"),
+            },
+        };
+        self.patch_response(conn, id, response, out);
+    }
+
+    /// The session's server takes no fragments.
+    pub fn unpatchable(&mut self, conn: ConnId, id: SessionId, out: &mut Vec<Wish>) {
+        self.patch_response(conn, id, not_allowed("DELETE, OPTIONS"), out);
+    }
+
+    fn patch_response(&mut self, conn: ConnId, id: SessionId, response: Response, out: &mut Vec<Wish>) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if let Some((of, keep)) = c.waits.take_if(|(of, _)| *of == id) {
+            debug_assert_eq!(of, id);
+            self.respond(conn, response, keep, None, out);
+        }
+    }
+
     /// The session stands.
-    pub fn plays(&mut self, now: Micros, id: SessionId, answer: Description, out: &mut Vec<Wish>) {
+    pub fn plays(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        answer: Description,
+        ice: Vec<String>,
+        out: &mut Vec<Wish>,
+    ) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let waiters = std::mem::take(&mut session.waiters);
         session.answer = Some(answer.clone());
+        session.ice = self.setup.ice.iter().cloned().chain(ice).collect();
+        let created = created(id, &answer, 0, &session.ice);
         if waiters.is_empty() {
             session.lost_at = Some(now + self.setup.reclaim);
         }
-        self.tell_all(id, &waiters, &created(id, &answer), Some(id), out);
+        self.tell_all(id, &waiters, &created, Some(id), out);
     }
 
     /// Refused: coming again is harmless, and the booking is free again.
@@ -450,7 +607,8 @@
             self.bookings.remove(&key);
         }
         let wait = if wait == Micros(0) { RETRY_S } else { wait.0.div_ceil(1_000_000) };
-        let response = Response::text(503, "refused; coming again does no harm").with("Retry-After", wait);
+        let response =
+            Response::problem(503, "refused", "refused; coming again does no harm").with("Retry-After", wait);
         self.tell_all(id, &session.waiters, &response, None, out);
     }
 
@@ -465,7 +623,8 @@
                 self.bookings.remove(&key);
             }
         }
-        let response = Response::text(status, "the set-up failed");
+        let code = if why.deadline { "out-of-time" } else { "failed" };
+        let response = Response::problem(status, code, "the set-up failed");
         self.tell_all(id, &session.waiters, &response, None, out);
     }
 
@@ -543,14 +702,50 @@
     }
 }
 
-fn etag(id: SessionId) -> String {
-    format!("\"{:016x}\"", id.0)
+/// Types of bodies and headers of this front.
+const FRAGMENT: &str = crate::edge::FRAGMENT;
+const EXPOSED: &str = "Location, ETag, Link, Retry-After, Allow, Accept-Post, Accept-Patch";
+
+fn etag(id: SessionId, ice_session: u32) -> String {
+    if ice_session == 0 { format!("\"{:016x}\"", id.0) } else { format!("\"{:016x}-{ice_session}\"", id.0) }
+}
+
+/// Whether `If-Match` holds (RFC 9110, 13.1.1): any, or one of a list, compared strongly.
+fn matches(asked: &str, tag: &str) -> bool {
+    asked.trim() == "*" || asked.split(',').any(|t| t.trim() == tag)
+}
+
+fn no_session() -> Response {
+    Response::problem(404, "no-session", "no such session")
+}
+
+fn stale() -> Response {
+    Response::problem(412, "stale-tag", "another entity tag")
+}
+
+fn not_allowed(methods: &str) -> Response {
+    Response::problem(405, "not-allowed", "not for this resource").with("Allow", methods)
+}
+
+fn options(route: &Route, ice: &[String]) -> Response {
+    let mut response = Response::text(204, "")
+        .with("Allow", route.methods())
+        .with("Access-Control-Allow-Methods", route.methods())
+        .with("Access-Control-Allow-Headers", "Content-Type, If-Match, Authorization")
+        .with("Access-Control-Max-Age", PREFLIGHT_S);
+    response = match route {
+        Route::Session(_) => response.with("Accept-Patch", FRAGMENT),
+        Route::Title(_) | Route::Booking(..) => response.with("Accept-Post", "application/sdp"),
+    };
+    ice.iter().fold(response, |response, link| response.with("Link", link))
 }
 
-fn created(id: SessionId, answer: &Description) -> Response {
+fn created(id: SessionId, answer: &Description, ice_session: u32, ice: &[String]) -> Response {
     let response = Response { status: 201, headers: Vec::new(), body: answer.to_vec() };
-    response
+    let response = response
         .with("Content-Type", "application/sdp")
         .with("Location", format!("/sessions/{:016x}", id.0))
-        .with("ETag", etag(id))
+        .with("ETag", etag(id, ice_session))
+        .with("Accept-Patch", FRAGMENT);
+    ice.iter().fold(response, |response, link| response.with("Link", link))
 }
--- a/src/whip/route.rs
+++ b/src/whip/route.rs
@@ -1,8 +1,7 @@
 //! Which resource a request's target names.
 
-use std::fmt::Write as _;
-
 use crate::api::SessionId;
+use crate::http::uri::decode;
 use crate::message::line::parse_id;
 
 /// A resource of this front.
@@ -22,6 +21,9 @@
 impl Route {
     /// Reads a target; none: it names nothing here.
     pub fn parse(target: &str) -> Option<Route> {
+        // The absolute form too (RFC 9112, 3.2.2): whom it names is not looked at.
+        let scheme = target.split_once("://").filter(|(s, _)| s.eq_ignore_ascii_case("http"));
+        let target = scheme.map_or(target, |(_, rest)| rest.find('/').map_or("", |at| &rest[at..]));
         let path = target.split(['?', '#']).next().unwrap_or("");
         let parts: Vec<String> = path.strip_prefix('/')?.split('/').map(decode).collect::<Option<_>>()?;
         let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
@@ -42,46 +44,15 @@
         match self {
             Route::Title(_) => "POST, OPTIONS",
             Route::Booking(..) => "POST, DELETE, OPTIONS",
-            Route::Session(_) => "DELETE, OPTIONS",
-        }
-    }
-}
-
-/// Undoes percent-encoding.
-fn decode(part: &str) -> Option<String> {
-    let mut bytes = Vec::new();
-    let mut rest = part.as_bytes();
-    while let [first, after @ ..] = rest {
-        rest = after;
-        if *first != b'%' {
-            bytes.push(*first);
-            continue;
-        }
-        let digits =
-            std::str::from_utf8(after.get(..2)?).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()))?;
-        bytes.push(u8::from_str_radix(digits, 16).ok()?);
-        rest = &after[2..];
-    }
-    String::from_utf8(bytes).ok()
-}
-
-/// Encodes a part of a path.
-pub fn encode(part: &str) -> String {
-    let mut out = String::new();
-    for b in part.bytes() {
-        if b.is_ascii_alphanumeric() || b"-._~".contains(&b) {
-            out.push(char::from(b));
-        } else {
-            // Writing to a String cannot fail.
-            let _ = write!(out, "%{b:02X}");
+            Route::Session(_) => "PATCH, DELETE, OPTIONS",
         }
     }
-    out
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::http::uri::encode;
 
     #[test]
     fn targets_name_titles_bookings_and_sessions() {
@@ -89,6 +60,7 @@
         let target = format!("/whip/{}/bookings/{}?x=1", encode("blue sofa"), encode("b/7"));
         assert_eq!(Route::parse(&target), Some(booking));
         assert_eq!(Route::parse("/whep/sofa"), Some(Route::Title("sofa".into())));
+        assert_eq!(Route::parse("http://any:80/whep/sofa"), Some(Route::Title("sofa".into())));
         assert_eq!(Route::parse("/sessions/00000000000000ff"), Some(Route::Session(SessionId(255))));
         for nothing in
             ["", "*", "/", "/whip/", "/whip", "/sessions/ff", "/whip/a%2", "/whip/%ff", "/whip/a/b"]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -34,7 +34,7 @@
 
     fn list(&mut self, id: &str, state: ServerState, port: u16) {
         let entry = ServerEntry::new(ServerId::new(id), state, 0);
-        let servers = vec![Listed { entry, address: ([127, 0, 0, 1], port).into() }];
+        let servers = vec![Listed::new(entry, ([127, 0, 0, 1], port).into())];
         self.node.news(self.now, News { kind: ListKind::Changes, servers }, &mut self.out);
     }
 
@@ -527,7 +527,7 @@
         let (server, id) = (format!("s-{n}"), SessionId(n));
         let (entry, address) =
             (ServerEntry::new(ServerId::new(&server), ServerState::Ready, 0), [127, 0, 0, 1]);
-        let servers = vec![Listed { entry, address: (address, 1 + (n % 7) as u16).into() }];
+        let servers = vec![Listed::new(entry, (address, 1 + (n % 7) as u16).into())];
         world.node.news(world.now, News { kind: ListKind::Complete, servers }, &mut world.out);
         let viewer = world.viewer();
         let line = json!({"type": "setup", "id": format!("{:016x}", id.0), "sdp": "offer", "fields":
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -103,7 +103,7 @@
         let mut bytes = Vec::new();
         for (body, chunked) in &bodies {
             if *chunked {
-                bytes.extend(b"POST /whip/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+                bytes.extend(b"POST /whip/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
                 for chunk in body.chunks(7) {
                     bytes.extend(format!("{:x};x=y\r\n", chunk.len()).bytes().chain(chunk.iter().copied()));
                     bytes.extend(b"\r\n");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+pub mod media;
+
 use amberspindle::api::SessionId;
 use amberspindle::message::binary::{Builder, Decoder, code};
 use amberspindle::message::{Kind, cause};
@@ -404,6 +406,15 @@
     text.into_bytes()
 }
 
+/// The bytes of a PATCH with a fragment of trickle ICE.
+pub fn patch(path: &str, tag: Option<&str>, fragment: &str) -> Vec<u8> {
+    let tag = tag.map_or(String::new(), |tag| format!("If-Match: {tag}\r\n"));
+    let length = fragment.len();
+    let kind = "application/trickle-ice-sdpfrag";
+    format!("PATCH {path} HTTP/1.1\r\nHost: test\r\n{tag}Content-Type: {kind}\r\nContent-Length: {length}\r\n\r\n{fragment}")
+        .into_bytes()
+}
+
 /// Reads one response; none if the connection ends before it.
 pub fn reply(stream: &mut TcpStream) -> Option<Reply> {
     let mut bytes = Vec::new();
--- a/tests/whip.rs
+++ b/tests/whip.rs
@@ -25,7 +25,10 @@
     let tag = format!("\"{:016x}\"", id.0);
     let place = made.head.lines().find_map(|l| l.strip_prefix("Location: ")).unwrap();
     assert!(made.head.contains(&format!("ETag: {tag}")));
-    let patched = ask(&program, "PATCH", place, None);
+    let mut stream = program.connect("http");
+    let fragment = "a=ice-ufrag:x\r\na=ice-pwd:y\r\n";
+    stream.write_all(&patch(place, Some("*"), fragment)).unwrap();
+    let patched = reply(&mut stream).unwrap();
     assert_eq!((patched.status, patched.header("allow")), (405, Some("DELETE, OPTIONS")));
     assert_eq!(ask(&program, "DELETE", place, None).status, 200);
     edge.released(id, 1);
