--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --all -- --check
-	cargo clippy --all-targets --locked -- -D warnings
+	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 # An operator's file is named by CONFIG=...
 CONFIG ?= deploy/operator.toml
--- a/tests/support/media.rs
+++ b/conformance/src/media.rs
@@ -2,19 +2,47 @@
 //! to misbehave.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 
-use amberspindle::http::server::{Decoder, Request};
+use clap::ValueEnum;
 
-use super::PATIENCE;
+use crate::wire::PATIENCE;
+
+/// A whole request.
+struct Request {
+    method: String,
+    target: String,
+    if_match: Option<String>,
+    body: String,
+}
+
+/// Takes a whole request with a length off the front of a stream; none until it is whole.
+fn take_request(buffer: &mut Vec<u8>) -> Option<Request> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Request::new(&mut headers);
+    let Ok(httparse::Status::Complete(start)) = head.parse(buffer) else { return None };
+    let header = |name: &str| {
+        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+        Some(String::from_utf8_lossy(found.value).into_owned())
+    };
+    let length = header("content-length").and_then(|l| l.parse::<usize>().ok()).unwrap_or(0);
+    let if_match = header("if-match");
+    let (method, target) = (head.method?.to_owned(), head.path?.to_owned());
+    let body = buffer.get(start..start + length)?;
+    let body = String::from_utf8_lossy(body).into_owned();
+    buffer.drain(..start + length);
+    Some(Request { method, target, if_match, body })
+}
 
 /// What it does with a set-up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Does {
+    /// Makes a session and answers.
     Answers,
     /// Answers with this status; 503 with `Retry-After`.
+    #[value(skip)]
     Says(u16),
     /// 503 without a word on coming again.
     Mute,
@@ -30,6 +58,7 @@
     Twice,
 }
 
+/// What it has seen.
 #[derive(Default)]
 pub struct Seen {
     /// Paths and offers of set-ups, in order.
@@ -47,21 +76,34 @@
     go: bool,
 }
 
+/// A stand-in media server on threads of its own.
 #[derive(Clone)]
 pub struct Media {
+    /// Where it listens.
     pub address: SocketAddr,
     does: Arc<Mutex<Does>>,
+    /// What it has seen, and the bell for it.
     pub seen: Arc<(Mutex<Seen>, Condvar)>,
 }
 
+/// The description that it answers its `n`th set-up with, from 0.
 pub fn media_answer(n: usize) -> String {
     format!("v=0\r\no=media {n} 1 IN IP4 127.0.0.1\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n")
 }
 
 impl Media {
+    /// Starts one on a free port.
+    ///
+    /// # Panics
+    /// If the machine gives none.
     pub fn start(does: Does) -> Media {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
+        Media::listen(([127, 0, 0, 1], 0).into(), does).expect("a free port")
+    }
+
+    /// Starts one at an address.
+    pub fn listen(address: SocketAddr, does: Does) -> io::Result<Media> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
         let media = Media { address, does: Arc::new(Mutex::new(does)), seen: Arc::default() };
         let server = media.clone();
         std::thread::spawn(move || {
@@ -70,38 +112,50 @@
                 std::thread::spawn(move || server.serve(stream));
             }
         });
-        media
+        Ok(media)
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        // A thread that panicked left nothing half done.
+        self.seen.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The URL of its set-ups, as a list of servers names it.
     pub fn url(&self) -> String {
         format!("http://{}/whep/{{title}}?rung={{rung}}", self.address)
     }
 
+    /// From now on it does this.
     pub fn behave(&self, does: Does) {
-        *self.does.lock().unwrap() = does;
+        *self.does.lock().unwrap_or_else(PoisonError::into_inner) = does;
     }
 
     /// Lets the set-ups that wait be answered.
     pub fn go(&self) {
-        self.seen.0.lock().unwrap().go = true;
+        self.seen().go = true;
         self.seen.1.notify_all();
     }
 
     /// Waits for something to be seen.
+    ///
+    /// # Panics
+    /// If it is not seen in a long time.
     pub fn until<T>(&self, what: &str, mut found: impl FnMut(&Seen) -> Option<T>) -> T {
-        let mut seen = self.seen.0.lock().unwrap();
+        let mut seen = self.seen();
         loop {
             if let Some(found) = found(&seen) {
                 return found;
             }
-            let (next, late) = self.seen.1.wait_timeout(seen, PATIENCE).unwrap();
+            let waited = self.seen.1.wait_timeout(seen, PATIENCE);
+            let (next, late) = waited.unwrap_or_else(PoisonError::into_inner);
             assert!(!late.timed_out(), "never saw {what}");
             seen = next;
         }
     }
 
+    /// Set-ups that it was asked for.
     pub fn posts(&self) -> usize {
-        self.seen.0.lock().unwrap().posts.len()
+        self.seen().posts.len()
     }
 
     /// Waits until sessions were made and none of them stands any more.
@@ -112,15 +166,13 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        let (mut decoder, mut buffer) = (Decoder::default(), [0; 4096]);
-        while let Ok(n) = stream.read(&mut buffer) {
+        let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
+        while let Ok(n) = stream.read(&mut piece) {
             if n == 0 {
                 return;
             }
-            decoder.feed(&buffer[..n]);
-            while let Some(request) =
-                decoder.next_request(64 * 1024).expect("the broker writes whole requests")
-            {
+            buffer.extend_from_slice(&piece[..n]);
+            while let Some(request) = take_request(&mut buffer) {
                 let answer = self.answer(request);
                 let Some((bytes, close)) = answer else {
                     let _ = stream.shutdown(Shutdown::Both);
@@ -137,8 +189,8 @@
 
     /// The bytes of the answer, and whether the connection ends behind it; none: it ends at once.
     fn answer(&self, request: Request) -> Option<(Vec<u8>, bool)> {
-        let body = String::from_utf8(request.body).unwrap();
-        let mut seen = self.seen.0.lock().unwrap();
+        let body = request.body;
+        let mut seen = self.seen();
         let plain = |status: u16, more: &str| {
             (format!("HTTP/1.1 {status} x\r\n{more}Content-Length: 0\r\n\r\n").into_bytes(), false)
         };
@@ -174,7 +226,7 @@
             "POST" => {
                 let n = seen.posts.len();
                 seen.posts.push((request.target, body));
-                let does = *self.does.lock().unwrap();
+                let does = *self.does.lock().unwrap_or_else(PoisonError::into_inner);
                 match does {
                     Does::Says(503) => Some(plain(503, "Retry-After: 1\r\n")),
                     Does::Says(status) => Some(plain(status, "")),
@@ -185,7 +237,7 @@
                         self.seen.1.notify_all();
                         if does == Does::Waits {
                             while !seen.go {
-                                seen = self.seen.1.wait(seen).unwrap();
+                                seen = self.seen.1.wait(seen).unwrap_or_else(PoisonError::into_inner);
                             }
                         }
                         let kind = if does == Does::Spoils { "text/plain" } else { "application/sdp" };
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 
-use support::media::{Does, Media, media_answer};
+use amberspindle_conformance::media::{Does, Media, media_answer};
 use support::*;
 
 const OFFER: &str = "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n";
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,8 +8,6 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-pub mod media;
-
 use amberspindle::api::SessionId;
 use amberspindle::message::binary::{Builder, Decoder, code};
 use amberspindle::message::{Kind, cause};
