--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -592,7 +592,9 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let waiters = std::mem::take(&mut session.waiters);
         session.answer = Some(answer.clone());
-        session.ice = self.setup.ice.iter().cloned().chain(ice).collect();
+        let own = &self.setup.ice;
+        let more = ice.into_iter().filter(|link| !own.contains(link));
+        session.ice = own.iter().cloned().chain(more).collect();
         let created = created(id, &answer, 0, &session.ice);
         if waiters.is_empty() {
             session.lost_at = Some(now + self.setup.reclaim);
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -30,13 +30,13 @@
 #[test]
 fn a_session_is_set_up_and_ended_at_a_media_server() {
     let media = Media::start(Does::Answers);
-    let ice = "[[whip.ice_server]]\nurl = \"turn:turn.example.net\"\nusername = \"u\"\ncredential = \"c\"";
+    let ice = "[[whip.ice_server]]\nurl = \"stun:stun.example.net\"\n[[whip.ice_server]]\nurl = \"turn:turn.example.net\"\nusername = \"u\"\ncredential = \"c\"";
     let program = broker(&[&media], LONG, ice);
     let made = ask(&program, "POST", "/whep/guide", Some(OFFER));
     assert_eq!((made.status, made.body.as_str()), (201, media_answer(0).as_str()));
     let links: Vec<&str> = made.head.lines().filter_map(|l| l.strip_prefix("Link: ")).collect();
     let turn = "<turn:turn.example.net>; rel=\"ice-server\"; username=\"u\"; credential=\"c\"; credential-type=\"password\"";
-    assert_eq!(links, [turn, "<stun:stun.example.net>; rel=\"ice-server\""]);
+    assert_eq!(links, ["<stun:stun.example.net>; rel=\"ice-server\"", turn], "each once");
     let (path, offer) = media.seen.0.lock().unwrap().posts[0].clone();
     assert!(path.starts_with("/whep/guide?rung=") && offer == OFFER, "{path}");
     assert_eq!(ask(&program, "DELETE", &place(&made), None).status, 200);
