Tell clients what happens to a session as events; let nobody else end it

A client heard nothing of its session's rung, move or end over HTTP. The answer to a set-up now has a Link to a stream of server-sent events, in the manner of the WHEP draft's extension.

A connection that waited for the answer to a fragment, or listened, counted as the one that waits for the set-up: when it closed, an unpaid session was ended under its client. The test fails without the check on who waits.

--- a/benches/whip.rs
+++ b/benches/whip.rs
@@ -8,6 +8,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -36,7 +37,7 @@
         run("WHEP to the platform's edge servers", clients, Some(&program), || {
             Box::new(Http::new(front, "/whep/guide"))
         });
-        let program = Program::platform(&edges.iter().collect::<Vec<_>>(), 60_000.0);
+        let program = platform(&edges);
         let front = program.fronts["viewer"];
         run("platform's front and edge servers", clients, Some(&program), || Box::new(Lines::new(front)));
     }
@@ -115,6 +116,22 @@
     Program::operator(&text, 60_000.0, &[], &["http"])
 }
 
+/// The platform's front before servers of weight 1, as the lists of the others have them: more than the rack's
+/// uplink would be taken for busy before it is known.
+fn platform(edges: &[Edge]) -> Program {
+    let mut known = known(&edges.iter().collect::<Vec<_>>());
+    for target in known["notices"][0]["pool"]["targets"].as_array_mut().unwrap() {
+        target["capacity_hint"] = json!(1);
+    }
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+        "settings": settings(60_000.0)});
+    let files = tempdir::Dir::new();
+    let path = files.write("config.json", &config.to_string());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
+    command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
+    Program::start(command, files, &["viewer"])
+}
+
 /// Copies bytes between its clients and one server, a connection for each.
 fn proxy(to: SocketAddr) -> SocketAddr {
     fn copy(mut from: TcpStream, mut to: TcpStream) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -636,16 +636,27 @@
                 self.whip(now, out, |whip, _, wishes| whip.failed(now, id, why, wishes));
                 self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
             }
-            Effect::Ended(id, _) | Effect::Moved(id) if self.owned_by_whip(id) => {
-                self.whip(now, out, |whip, _, _| whip.over(now, id));
+            Effect::Ended(id, _) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, wishes| whip.over(now, id, false, wishes));
+            }
+            Effect::Moved(id) if self.owned_by_whip(id) => {
+                self.whip(now, out, |whip, _, wishes| whip.over(now, id, true, wishes));
             }
             Effect::SetUp(set_up) => self.send(now, &set_up, out),
             Effect::GiveUp(id, _) if self.pool.holds(id) => self.pool.give_up(now, id, out),
             Effect::Cut(id, _) if self.pool.holds(id) => self.pool.release(now, id, out),
-            Effect::Rate(id, _, rung) if self.pool.holds(id) => self.pool.rate(now, id, rung, out),
+            Effect::Rate(id, server, rung) => {
+                if self.pool.holds(id) {
+                    self.pool.rate(now, id, rung, out);
+                } else {
+                    self.links.rate(now, id, &server, rung, out);
+                }
+                if self.owned_by_whip(id) {
+                    self.whip(now, out, |whip, _, wishes| whip.rated(id, rung, wishes));
+                }
+            }
             Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
             Effect::Cut(id, server) => self.links.release(now, id, &server, out),
-            Effect::Rate(id, server, rung) => self.links.rate(now, id, &server, rung, out),
             Effect::Plays(id, description) => {
                 let home = self.answered(now, id);
                 let line = std::str::from_utf8(&description).ok().map(|text| viewer::answer(id, text));
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -4,6 +4,7 @@
 //! A paid session is set up at a URL that names its booking. The booking is the key that keeps it from being
 //! set up twice: a repeat of the same offer joins the set-up that is open, or gets the answer it had.
 
+mod events;
 mod route;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,6 +96,8 @@
     spoke: bool,
     /// What it asked last was a HEAD.
     head_only: bool,
+    /// It is told what happens to the session that it waits for, to its end.
+    streams: bool,
     closing: bool,
 }
 
@@ -111,6 +114,8 @@
     answer: Option<Description>,
     /// `Link` headers that came with the answer.
     ice: Vec<String>,
+    /// Connections that are told what happens to it.
+    streams: BTreeSet<ConnId>,
     /// Counts ICE sessions, for the entity tag.
     ice_session: u32,
     /// Nobody has heard of the session: it ends at this time.
@@ -296,7 +301,7 @@
             Some(Route::Title(name) | Route::Booking(name, _)) => {
                 known(name).map(|t| (name.clone(), Some(t)))
             }
-            Some(Route::Session(_)) => Some((String::new(), None)),
+            Some(Route::Session(_) | Route::Events(_)) => Some((String::new(), None)),
         };
         let (Some(route), Some((name, title))) = (route, title) else {
             return self.respond(
@@ -332,6 +337,15 @@
                     }
                 }
             }
+            ("POST", Route::Events(id), _) if self.standing(id) => {
+                Response { status: 201, headers: Vec::new(), body: Vec::new() }
+                    .with("Location", events::path(id))
+            }
+            ("GET", Route::Events(id), _) if self.standing(id) => match self.listen(now, conn, id, out) {
+                Some(response) => response,
+                None => return,
+            },
+            ("GET" | "POST", Route::Events(_), _) => no_session(),
             ("PATCH", Route::Session(id), _) => match self.patch(conn, id, request, out) {
                 Some(response) => response,
                 None => return,
@@ -430,7 +444,15 @@
         let waiters = BTreeSet::from([conn]);
         self.sessions.insert(
             id,
-            Session { booking: key, waiters, answer: None, ice: Vec::new(), ice_session: 0, lost_at: None },
+            Session {
+                booking: key,
+                waiters,
+                answer: None,
+                ice: Vec::new(),
+                streams: BTreeSet::new(),
+                ice_session: 0,
+                lost_at: None,
+            },
         );
         if let Some(c) = self.conns.get_mut(&conn) {
             c.waits = Some((id, request.keep_alive));
@@ -458,6 +480,7 @@
     /// Ends a session, or gives its set-up up; whoever waits for it gets the one answer.
     fn end(&mut self, now: Micros, id: SessionId, nothing_ran: bool, out: &mut Vec<Wish>) {
         let Some(session) = self.sessions.remove(&id) else { return };
+        self.hang_up(&session, "ended", out);
         out.push(Wish::Tell(Input::Left(id)));
         if let Some(key) = session.booking {
             // The booking stays spent, unless it is certain that nothing ran.
@@ -630,9 +653,11 @@
         self.tell_all(id, &session.waiters, &response, None, out);
     }
 
-    /// A session that stood is over.
-    pub fn over(&mut self, now: Micros, id: SessionId) {
-        if let Some(Session { booking: Some(key), .. }) = self.sessions.remove(&id) {
+    /// A session that stood is over, or moved: then its client is to come again.
+    pub fn over(&mut self, now: Micros, id: SessionId, moved: bool, out: &mut Vec<Wish>) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        self.hang_up(&session, if moved { "moved" } else { "ended" }, out);
+        if let Some(key) = session.booking {
             self.spend(now, &key, Stage::Over);
         }
     }
@@ -643,8 +668,9 @@
         let waits = c.waits.map(|(id, _)| id);
         for id in waits.into_iter().chain(unfinished.iter().copied()) {
             let Some(session) = self.sessions.get_mut(&id) else { continue };
-            session.waiters.remove(&conn);
-            if !session.waiters.is_empty() {
+            // It may have listened, or waited for the answer to a fragment: the session plays on without it.
+            session.streams.remove(&conn);
+            if !session.waiters.remove(&conn) && !unfinished.contains(&id) || !session.waiters.is_empty() {
                 continue;
             }
             if session.booking.is_none() {
@@ -668,6 +694,11 @@
         let spent = self.setup.spent;
         self.bookings.retain(|_, b| matches!(b.stage, Stage::Held(_)) || now - b.at < spent);
         for (conn, c) in &mut self.conns {
+            if let Some((id, _)) = c.waits.filter(|_| c.streams && now - c.used >= events::COMMENT_EVERY) {
+                debug_assert!(self.sessions.contains_key(&id));
+                c.used = now;
+                out.push(Wish::Write(*conn, [events::comment(), Vec::new()], None));
+            }
             if c.waits.is_some() || c.closing {
                 continue;
             }
@@ -737,6 +768,7 @@
         .with("Access-Control-Max-Age", PREFLIGHT_S);
     response = match route {
         Route::Session(_) => response.with("Accept-Patch", FRAGMENT),
+        Route::Events(_) => response,
         Route::Title(_) | Route::Booking(..) => response.with("Accept-Post", "application/sdp"),
     };
     ice.iter().fold(response, |response, link| response.with("Link", link))
@@ -748,6 +780,7 @@
         .with("Content-Type", "application/sdp")
         .with("Location", format!("/sessions/{:016x}", id.0))
         .with("ETag", etag(id, ice_session))
-        .with("Accept-Patch", FRAGMENT);
+        .with("Accept-Patch", FRAGMENT)
+        .with("Link", events::link(id));
     ice.iter().fold(response, |response, link| response.with("Link", link))
 }
--- a/src/whip/route.rs
+++ b/src/whip/route.rs
@@ -13,6 +13,8 @@
     Booking(String, String),
     /// `/sessions/ID`: a session that stands.
     Session(SessionId),
+    /// `/sessions/ID/events`: what happens to it, as server-sent events.
+    Events(SessionId),
 }
 
 /// Longest name of a booking.
@@ -35,6 +37,7 @@
                 Some(Route::Booking((*title).to_owned(), (*booking).to_owned()))
             }
             ["sessions", id] => parse_id(id).map(Route::Session),
+            ["sessions", id, "events"] => parse_id(id).map(Route::Events),
             _ => None,
         }
     }
@@ -45,6 +48,7 @@
             Route::Title(_) => "POST, OPTIONS",
             Route::Booking(..) => "POST, DELETE, OPTIONS",
             Route::Session(_) => "PATCH, DELETE, OPTIONS",
+            Route::Events(_) => "GET, POST, OPTIONS",
         }
     }
 }
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 
 use amberspindle_conformance::media::{Does, Media, media_answer};
 use support::*;
@@ -35,6 +35,7 @@
     let made = ask(&program, "POST", "/whep/guide", Some(OFFER));
     assert_eq!((made.status, made.body.as_str()), (201, media_answer(0).as_str()));
     let links: Vec<&str> = made.head.lines().filter_map(|l| l.strip_prefix("Link: ")).collect();
+    let links: Vec<&str> = links.into_iter().filter(|l| l.contains("ice-server")).collect();
     let turn = "<turn:turn.example.net>; rel=\"ice-server\"; username=\"u\"; credential=\"c\"; credential-type=\"password\"";
     assert_eq!(links, ["<stun:stun.example.net>; rel=\"ice-server\"", turn], "each once");
     let (path, offer) = media.seen.0.lock().unwrap().posts[0].clone();
@@ -203,3 +204,48 @@
     assert!(program.ended_well());
     assert_eq!(media.seen.0.lock().unwrap().deletes.len(), 3);
 }
+
+/// A client that leaves while its fragment is out, or that only listened, ends nothing.
+#[test]
+fn a_session_plays_on_without_those_who_patched_it_or_listened() {
+    let media = Media::start(Does::Answers);
+    let program = broker(&[&media], LONG, "");
+    let made = ask(&program, "POST", "/whep/guide", Some(OFFER));
+    let place = place(&made);
+    let mut stream = program.connect("http");
+    stream.write_all(&patch(&place, Some("*"), "a=ice-ufrag:x\r\na=ice-pwd:y\r\n")).unwrap();
+    drop(stream);
+    let mut listener = program.connect("http");
+    listener.write_all(&http("GET", &format!("{place}/events"), None)).unwrap();
+    let mut piece = [0; 1024];
+    assert!(listener.read(&mut piece).unwrap() > 0);
+    drop(listener);
+    let mut patched = program.connect("http");
+    patched.write_all(&patch(&place, Some("*"), "a=ice-ufrag:x\r\na=ice-pwd:y\r\n")).unwrap();
+    assert_eq!(reply(&mut patched).unwrap().status, 204);
+    assert_eq!(ask(&program, "DELETE", &place, None).status, 200, "it stood all the time");
+}
+
+#[test]
+fn what_happens_to_a_session_is_told_as_events() {
+    let media = Media::start(Does::Answers);
+    let program = broker(&[&media], LONG, "");
+    let made = ask(&program, "POST", "/whep/guide", Some(OFFER));
+    let place = place(&made);
+    let link = made.head.lines().find(|l| l.contains("server-sent-events")).expect("a link to the events");
+    let events = link.split(['<', '>']).nth(1).unwrap().to_owned();
+    assert_eq!(ask(&program, "POST", &events, None).header("location"), Some(events.as_str()));
+    let mut listener = program.connect("http");
+    listener.write_all(&http("GET", &events, None)).unwrap();
+    let mut text = String::new();
+    let mut piece = [0; 1024];
+    while !text.contains(":\n\n") {
+        let n = listener.read(&mut piece).unwrap();
+        text += std::str::from_utf8(&piece[..n]).unwrap();
+    }
+    assert!(text.starts_with("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"), "{text}");
+    assert_eq!(ask(&program, "DELETE", &place, None).status, 200);
+    listener.read_to_string(&mut text).unwrap();
+    assert!(text.contains("event: ended\ndata: {}\n\n") && text.ends_with("0\r\n\r\n"), "{text}");
+    assert_eq!(ask(&program, "GET", &events, None).status, 404);
+}
