--- a/benches/whip.rs
+++ b/benches/whip.rs
@@ -41,6 +41,90 @@
         let front = program.fronts["viewer"];
         run("platform's front and edge servers", clients, Some(&program), || Box::new(Lines::new(front)));
     }
+    held();
+    memory_and_fragments();
+}
+
+/// The example's boxes: what set-ups wait for when more sessions are held than the links carry.
+fn held() {
+    for aim in [1000.0, 500.0] {
+        let mut narrow = settings(3000.0);
+        let family = &mut narrow["FamilyInfo"];
+        family["LadderKb"] = json!([300.0, 449.0, 672.0, 1006.0, 1505.0, 2251.0]);
+        family["LadderWorth"] = json!([0.18, 0.38, 0.54, 0.7, 0.85, 1.0]);
+        family["PlacesByKind"] = json!([61]);
+        family["LinkUnitKb"] = json!(3853.0);
+        family["RackKb"] = json!(45303.0);
+        for class in narrow["RequestClasses"].as_array_mut().unwrap() {
+            class["Slo"] = json!(aim);
+        }
+        let edges: Vec<Edge> = (0..3).map(|_| Edge::start(Manner::Answers)).collect();
+        let mut text = "[whip]\nlisten = \"127.0.0.1:0\"\n".to_owned();
+        text += "[[title]]\nname = \"guide\"\nclass = \"clip\"\nhome = 0\ncopies = 3\n";
+        for (cell, edge) in edges.iter().enumerate() {
+            let address = edge.address;
+            text += &format!(
+                "[[server]]\nid = \"s-{cell}\"\naddress = \"{address}\"\ncell = {cell}\nweight = 4.0\n"
+            );
+        }
+        for clients in [32, 120] {
+            let program = Program::operator_of(&text, &narrow, &[], &["http"]);
+            let front = program.fronts["http"];
+            let name = format!("boxes of weight 4, aim {aim} ms, {clients} clients");
+            run(&name, clients, Some(&program), || Box::new(Http::new(front, "/whep/guide")));
+        }
+    }
+}
+
+/// What one more session, and one more idle connection, takes; and what a fragment costs.
+fn memory_and_fragments() {
+    const EACH: usize = 400;
+    let media: Vec<Media> = (0..3).map(|_| Media::start(Does::Answers)).collect();
+    let program = gateway(&media.iter().collect::<Vec<_>>());
+    let front = program.fronts["http"];
+    let mut one = Http::new(front, "/whep/guide");
+    for n in 0..1000 {
+        one.once(n);
+    }
+    let empty = resident_kb(program.pid());
+    let idle: Vec<Http> = (0..EACH).map(|_| Http::new(front, "/whep/guide")).collect();
+    one.once(0);
+    let with_idle = resident_kb(program.pid());
+    println!("memory: {:.1} KiB for an idle connection", (with_idle - empty) / EACH as f64);
+    let mut places = Vec::new();
+    for _ in 0..EACH {
+        one.stream.write_all(&http("POST", one.path, Some(OFFER))).unwrap();
+        let made = reply(&mut one.stream).expect("each request is answered");
+        places.extend(made.header("location").map(str::to_owned));
+    }
+    let with_sessions = resident_kb(program.pid());
+    println!(
+        "memory: {:.1} KiB for a session that stands",
+        (with_sessions - with_idle) / places.len() as f64
+    );
+    drop(idle);
+    let (before, began) = (spent(program.pid()), Instant::now());
+    let mut waits = Histogram::<u64>::new(3).unwrap();
+    while began.elapsed() < SPAN {
+        let asked = Instant::now();
+        let fragment = "a=ice-ufrag:x\r\na=ice-pwd:y\r\na=candidate:1 1 UDP 1 192.0.2.1 9 typ host\r\n";
+        one.stream.write_all(&patch(&places[0], Some("*"), fragment)).unwrap();
+        assert_eq!(reply(&mut one.stream).expect("each request is answered").status, 204);
+        waits.record((asked.elapsed().as_micros() as u64).max(1)).unwrap();
+    }
+    let each = 1e6 * (spent(program.pid()) - before) / waits.len() as f64;
+    let ms = |q: f64| waits.value_at_quantile(q) as f64 / 1000.0;
+    println!(
+        "fragments, one after the other: p50 {:.2} ms, p99 {:.2} ms, {each:.0} us of processor time each",
+        ms(0.5),
+        ms(0.99)
+    );
+}
+
+fn resident_kb(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    line.and_then(|l| l.trim().split(' ').next()?.parse().ok()).unwrap_or(0.0)
 }
 
 /// Sets one session up and ends it; gives how long the set-up took, if it was served.
