Let held sessions have freed room before newcomers

With 120 clients in a closed loop before boxes of weight 4, p99 of a set-up was 447 ms while p50 was 1.3 ms. Sessions are held for their group's share for 0.4 of the aim at most, which is meant: with half the aim p99 was 251 ms. But a newcomer was looked at at once and held ones each 50 ms, so newcomers took what was freed. Ruled out: the fronts, the sockets and the links, which show none of it before boxes with room.

The test fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -835,7 +835,23 @@
         let unable = session.req.top.0 < session.lo;
         self.book.sessions.insert(id, session);
         self.book.held.push(id);
-        if unable { self.answer(id, out) } else { self.serve_one(id, out) }
+        if unable {
+            return self.answer(id, out);
+        }
+        // Room that has come since the last look goes to those that are held already, in arrival order: without
+        // this, newcomers overtake them until their patience ends. Behind one that finds none, none of its title
+        // does.
+        let mut full = BTreeSet::new();
+        for held in self.book.held.clone() {
+            let Some(title) = self.book.sessions.get(&held).map(|s| s.req.title.clone()) else { continue };
+            if full.contains(&title) {
+                continue;
+            }
+            self.serve_one(held, out);
+            if self.book.sessions.get(&held).is_some_and(|s| s.phase == Phase::Held) {
+                full.insert(title);
+            }
+        }
     }
 
     fn open(&mut self, req: Request, server: &ServerId) {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -224,6 +224,22 @@
     assert_eq!(sent.iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [2, 3]);
 }
 
+/// Seen with 120 clients before links that carry fewer: newcomers took each stream that was freed, and those that
+/// were held waited to the end of their patience, 0.45 s, while others started in a millisecond.
+#[test]
+fn a_newcomer_does_not_overtake_those_that_are_held() {
+    let mut f = Front::new(settings(), 1);
+    let at = f.play(1, CLIP, "a");
+    f.note(1, &at, Note::Link(1.3));
+    assert!(sends(&f.ask(2, CLIP, "b")).is_empty(), "held");
+    f.pass(ms(10));
+    f.note(1, &at, Note::Link(0.1));
+    f.outcome(1, &at, Status::Completed, true);
+    // Before the next look at the held ones another viewer of that title comes.
+    let sent = sends(&f.ask(3, CLIP, "b"));
+    assert_eq!(sent.first().map(|(id, _)| id.0), Some(2), "{sent:?}");
+}
+
 #[test]
 fn the_same_events_give_the_same_actions() {
     let run = || {
