Take a server into the pool that changes to WHEP; cut set-ups to an address it left

A server that the list gave a url in place of its address was told lost and then not taken into the pool, as the look at the other links came first and ended the condition: nothing could be sent to it. And an answer to a set-up that was still out at a server's old address counted for the new one. Both are seen by new tests, the first of which fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -838,12 +838,13 @@
         if unable {
             return self.answer(id, out);
         }
-        // Room that has come since the last look goes to those that are held already, in arrival order: without
-        // this, newcomers overtake them until their patience ends. Behind one that finds none, none of its title
-        // does.
+        // Room that has come since the last look goes to those that are held already, in arrival order, or
+        // newcomers would overtake them until their patience ends. Behind one that finds none, none of its
+        // title does.
         let mut full = BTreeSet::new();
         for held in self.book.held.clone() {
-            let Some(title) = self.book.sessions.get(&held).map(|s| s.req.title.clone()) else { continue };
+            let title = self.book.sessions.get(&held).map(|s| s.req.title.clone());
+            let Some(title) = title else { continue };
             if full.contains(&title) {
                 continue;
             }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -168,21 +168,34 @@
 }
 
 impl Pool {
-    /// Notes where a server is. Gives whether it was elsewhere before: then it is another one.
+    /// Notes where a server is. Gives whether it was elsewhere before: then it is another one, and set-ups that are
+    /// under way to the old one are cut.
     pub fn listed(
         &mut self,
         server: &ServerId,
         address: SocketAddr,
         paths: &Paths,
         state: ServerState,
+        out: &mut Vec<Command>,
     ) -> bool {
         if state == ServerState::Gone {
             self.forget(server);
             return false;
         }
         let target = Target { address, paths: paths.clone() };
-        let before = self.targets.insert(server.clone(), target);
-        before.is_some_and(|before| before.address != address)
+        let moved =
+            self.targets.insert(server.clone(), target).is_some_and(|before| before.address != address);
+        let old = |c: &Conn| match &c.exchange {
+            Some(Exchange { work: Work::SetUp { server: of, .. }, .. }) => {
+                of == server && c.address != address
+            }
+            _ => false,
+        };
+        for (conn, c) in self.conns.iter_mut().filter(|(_, c)| moved && !c.closing && old(c)) {
+            c.closing = true;
+            out.push(Command::Cut(*conn, "moved"));
+        }
+        moved
     }
 
     /// A server has left the list. What is under way there is read to its end.
--- a/src/edge/tests.rs
+++ b/src/edge/tests.rs
@@ -24,7 +24,7 @@
     fn new(end: Option<&str>) -> World {
         let mut pool = Pool::default();
         let paths = Paths { set_up: "/whep/{title}?rung={rung}".into(), end: end.map(Text::from) };
-        pool.listed(&ServerId::new(A), address(), &paths, ServerState::Ready);
+        pool.listed(&ServerId::new(A), address(), &paths, ServerState::Ready, &mut Vec::new());
         World { pool, now: T, out: Vec::new(), told: Vec::new() }
     }
 
@@ -218,6 +218,23 @@
     assert!(world.out.contains(&Command::Cut(conn, "no-answer")));
 }
 
+/// The same name at another address is another server: what was asked of the old one does not count for it.
+#[test]
+fn a_set_up_at_an_address_that_the_server_has_left_is_cut_and_proves_nothing() {
+    let mut world = World::new(None);
+    world.set_up(1).unwrap();
+    let conn = world.dials()[0];
+    world.open(conn);
+    let paths = Paths { set_up: "/whep/{title}".into(), end: None };
+    let elsewhere = ([127, 0, 0, 1], 81).into();
+    assert!(world.pool.listed(&ServerId::new(A), elsewhere, &paths, ServerState::Ready, &mut world.out));
+    assert!(world.out.contains(&Command::Cut(conn, "moved")));
+    world.hear(conn, &made("/made/1", ""));
+    assert!(world.told.is_empty());
+    world.closed(conn, &GONE);
+    assert_eq!(world.told, [Told::Over(SessionId(1), ServerId::new(A), Status::Reset, Load::default())]);
+}
+
 #[test]
 fn an_idle_connection_carries_nothing_that_its_close_could_cross() {
     let mut world = World::new(None);
--- a/src/node.rs
+++ b/src/node.rs
@@ -352,7 +352,8 @@
             let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
             match &listed.paths {
                 Some(paths) => {
-                    let other = self.links.knows(id) || self.pool.listed(id, listed.address, paths, state);
+                    let moved = self.pool.listed(id, listed.address, paths, state, out);
+                    let other = moved || self.links.knows(id);
                     self.links.forget(id);
                     lost.extend(other.then(|| id.clone()));
                 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -593,3 +593,31 @@
         assert!(!world.written(viewer).contains("47"));
     }
 }
+
+/// Seen in a review: a server that changed from the platform's messages to WHEP was not taken into the pool.
+#[test]
+fn a_server_that_speaks_something_else_from_now_on_is_asked_in_that() {
+    let mut world = World::new();
+    let (viewer, old) = world.playing();
+    let entry = ServerEntry::new(ServerId::new("s-0"), ServerState::Ready, 0);
+    let paths = amberspindle::roster::Paths { set_up: "/whep/{title}".into(), end: None };
+    let listed = Listed { entry, address: ([127, 0, 0, 1], 1).into(), paths: Some(paths) };
+    let news = News { kind: ListKind::Changes, servers: vec![listed] };
+    world.node.news(world.now, news, &mut world.out);
+    assert!(world.ended(viewer), "what stood there is over");
+    // The module leaves a server alone for a while whose sessions were lost.
+    world.pass(4000);
+    let viewer = world.viewer();
+    world.ask_as(viewer, SessionId(9));
+    let mut dials = world.dials();
+    for _ in 0..400 {
+        if dials.is_empty() {
+            world.pass(10);
+            dials = world.dials();
+        }
+    }
+    let edge = dials[0];
+    assert_ne!(edge, old);
+    world.node.opened(world.now, edge, &mut world.out);
+    assert!(world.written(edge).starts_with("POST /whep/k HTTP/1.1\r\n"), "{}", world.written(edge));
+}
