Hear a media server's load and the ends of its sessions on a stream of events

Towards media servers the module heard of load with answers only, and a session that its server ended stayed on the broker's books. A list may give a server an events path: while sessions stand there one stream of server-sent events is read, whose notes and ends reach the core as those of the platform's servers do; a silent one is asked for anew.

Tested without sockets, in pieces of any size and with silence; the whole test command passes.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,6 +6,7 @@
 //! on new connections too, within bounds.
 
 pub mod load;
+pub mod news;
 pub mod proof;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,6 +18,7 @@
 use crate::http::uri::encode;
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::roster::Paths;
+use news::{News, Stream};
 use proof::{Outcome, Proof, proof};
 
 /// Numbers of these connections lie above those of all others.
@@ -38,6 +40,10 @@
 const LONGEST_PAUSE: Micros = Micros(8_000_000);
 /// A session whose answer was lost may be made after the first tries: so often it must be found missing.
 const UNSURE_TRIES: u32 = 4;
+/// A stream of events that says nothing for so long, not even a comment, is asked for anew.
+const SILENCE: Micros = Micros(30_000_000);
+/// Time between tries to open one.
+const LISTEN_EVERY: Micros = Micros(2_000_000);
 /// Ends that are remembered at most.
 const MOST_ENDS: usize = 4096;
 /// Longest body of an answer: it must fit into one message towards the other front too.
@@ -111,6 +117,8 @@
     },
     End(SessionId),
     Rate,
+    /// Its stream of events.
+    Events(ServerId),
     Patch {
         from: ConnId,
         id: SessionId,
@@ -131,6 +139,7 @@
     closing: bool,
     responses: Responses,
     exchange: Option<Exchange>,
+    stream: Stream,
     used: Micros,
 }
 
@@ -142,6 +151,8 @@
     waiting: BTreeMap<SocketAddr, VecDeque<Exchange>>,
     resources: BTreeMap<SessionId, Resource>,
     ends: BTreeMap<SessionId, End>,
+    /// When a server's events are asked for next.
+    listen_at: BTreeMap<ServerId, Micros>,
     next: u64,
 }
 
@@ -298,7 +309,8 @@
             self.next += 1;
             let conn = ConnId(FIRST_CONN + self.next);
             let (responses, exchange) = (Responses::default(), Some(exchange));
-            let dialled = Conn { address, open: false, closing: false, responses, exchange, used: now };
+            let (open, closing, stream) = (false, false, Stream::default());
+            let dialled = Conn { address, open, closing, responses, exchange, stream, used: now };
             self.conns.insert(conn, dialled);
             out.push(Command::Dial(conn, address));
             return true;
@@ -440,8 +452,19 @@
         out: &mut Vec<Command>,
     ) {
         let Some(c) = self.conns.get_mut(&conn).filter(|c| !c.closing) else { return };
-        c.responses.feed(bytes);
         c.used = now;
+        if let Some(Exchange { work: Work::Events(server), .. }) = &c.exchange {
+            let server = server.clone();
+            match c.stream.feed(bytes) {
+                Ok(news) => self.heard(&server, news, told),
+                Err(error) => {
+                    c.closing = true;
+                    out.push(Command::Cut(conn, error.code()));
+                }
+            }
+            return;
+        }
+        c.responses.feed(bytes);
         if c.exchange.is_none() {
             // Nothing was asked: what it says has no meaning, and what follows could be taken for an answer.
             c.closing = true;
@@ -474,6 +497,49 @@
         }
     }
 
+    /// What a server told of itself and of its sessions. A note goes to one session, as on the platform.
+    fn heard(&mut self, server: &ServerId, news: Vec<News>, told: &mut Vec<Told>) {
+        for news in news {
+            let mut there = self.resources.iter().filter(|(_, r)| r.server == *server);
+            match news {
+                News::Note(note) => {
+                    told.extend(there.next().map(|(id, _)| Told::Note(*id, server.clone(), note)));
+                }
+                News::Ended(path) => {
+                    let id = there.find(|(_, r)| r.path == path).map(|(id, _)| *id);
+                    if let Some(id) = id {
+                        self.resources.remove(&id);
+                        told.push(Told::Over(id, server.clone(), Status::Completed, Load::default()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Listens to servers where sessions stand and which tell of themselves.
+    fn listen(&mut self, now: Micros, out: &mut Vec<Command>) {
+        if self.targets.values().all(|t| t.paths.events.is_none()) {
+            return;
+        }
+        let heard = |e: &Exchange| if let Work::Events(s) = &e.work { Some(s.clone()) } else { None };
+        let open: Vec<ServerId> = self.conns.values().filter_map(|c| heard(c.exchange.as_ref()?)).collect();
+        let mut silent: Vec<&ServerId> = self.resources.values().map(|r| &r.server).collect();
+        silent.sort_unstable();
+        silent.dedup();
+        let due = |s: &ServerId| !open.contains(s) && self.listen_at.get(s).is_none_or(|at| *at <= now);
+        let silent: Vec<ServerId> = silent.into_iter().filter(|s| due(s)).cloned().collect();
+        for server in silent {
+            let Some(target) = self.targets.get(&server) else { continue };
+            let Some(path) = target.paths.events.clone() else { continue };
+            self.listen_at.insert(server.clone(), now + LISTEN_EVERY);
+            let (address, headers) = (target.address, [("Accept", "text/event-stream")]);
+            let bytes = client::request("GET", &address.to_string(), &path, &headers, None);
+            self.start(now, address, Exchange { work: Work::Events(server), bytes, at: now }, out);
+        }
+        let targets = &self.targets;
+        self.listen_at.retain(|server, _| targets.contains_key(server));
+    }
+
     /// A connection is free, or one more may be opened.
     fn next_waiting(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Command>) {
         let Some(waiting) = self.waiting.get_mut(&address) else { return };
@@ -507,7 +573,7 @@
                     _ => self.end_again(now, id, told),
                 }
             }
-            Work::Rate => {}
+            Work::Rate | Work::Events(_) => {}
             Work::Patch { from, id } => {
                 if let (Some(resource), Some(tag)) = (self.resources.get_mut(&id), response.header("etag")) {
                     resource.tag = Some(tag.to_owned());
@@ -603,7 +669,7 @@
                 }
             }
             Work::End(id) => self.end_again(now, id, told),
-            Work::Rate => {}
+            Work::Rate | Work::Events(_) => {}
             Work::Patch { from, id } => told.push(Told::Patched(from, id, None)),
         }
     }
@@ -654,6 +720,7 @@
         match &c.exchange {
             None => Some(c.used + FRESH),
             Some(Exchange { work: Work::SetUp { given_up, .. }, .. }) => given_up.map(|at| at + LATE),
+            Some(Exchange { work: Work::Events(_), .. }) => Some(c.used + SILENCE),
             Some(exchange) => Some(exchange.at + PATIENCE),
         }
     }
@@ -675,6 +742,7 @@
             });
         }
         self.end_due(now, out);
+        self.listen(now, out);
     }
 
     /// A server is lost with what stood there. Where it may only have started anew, what it still holds is ended.
--- /dev/null
+++ b/src/edge/news.rs
@@ -0,0 +1,74 @@
+//! What a media server tells on its stream of server-sent events. The data of each event is a JSON object:
+//!
+//! | key | meaning |
+//! | --- | --- |
+//! | `link`, `uplink` | what is asked of the link, and of its rack's uplink, over what it gives |
+//! | `delivered` | share of the rates that its sessions get, 0 to 1 |
+//! | `ended` | the path of a session that is over |
+
+use serde_json::Value;
+
+use crate::api::Note;
+use crate::http::{HttpError, client, sse};
+
+/// Something that a server told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// Of itself.
+    Note(Note),
+    /// The session at this path is over.
+    Ended(String),
+}
+
+/// Reads one stream.
+#[derive(Debug, Default)]
+pub struct Stream {
+    reader: client::Reader,
+    events: sse::Decoder,
+}
+
+impl Stream {
+    /// Takes bytes in; gives what was told. An error, or a status other than 200, ends it.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<News>, HttpError> {
+        let (mut body, mut events) = (Vec::new(), Vec::new());
+        self.reader.feed(bytes, &mut body)?;
+        if self.reader.status().is_some_and(|status| status != 200) {
+            return Err(HttpError::BadHead);
+        }
+        self.events.feed(&body, &mut events)?;
+        Ok(events.iter().flat_map(|event| read(&event.data)).collect())
+    }
+}
+
+/// Reads the data of one event; what is not known, or out of its range, is skipped.
+fn read(data: &str) -> Vec<News> {
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
+    let figure = |key: &str| value.get(key).and_then(Value::as_f64).filter(|x| x.is_finite() && *x >= 0.0);
+    let notes = [
+        figure("link").map(Note::Link),
+        figure("uplink").map(Note::Uplink),
+        figure("delivered").filter(|share| *share <= 1.0).map(Note::Delivered),
+    ];
+    let ended = value.get("ended").and_then(Value::as_str).map(|path| News::Ended(path.to_owned()));
+    notes.into_iter().flatten().map(News::Note).chain(ended).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_tell_of_load_and_ends_whatever_the_pieces() {
+        let text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\ndata: {\"link\":1.2,\"delivered\":0.9}\n\n\
+            data: {\"delivered\":7,\"uplink\":-1,\"ended\":\"/made/1\"}\n\ndata: no\n\n";
+        for size in [1, 3, 1000] {
+            let (mut stream, mut told) = (Stream::default(), Vec::new());
+            for piece in text.as_bytes().chunks(size) {
+                told.extend(stream.feed(piece).unwrap());
+            }
+            let load = [News::Note(Note::Link(1.2)), News::Note(Note::Delivered(0.9))];
+            assert_eq!(told, [load.as_slice(), &[News::Ended("/made/1".into())]].concat());
+        }
+        assert!(Stream::default().feed(b"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n").is_err());
+    }
+}
--- a/src/edge/tests.rs
+++ b/src/edge/tests.rs
@@ -23,7 +23,11 @@
 impl World {
     fn new(end: Option<&str>) -> World {
         let mut pool = Pool::default();
-        let paths = Paths { set_up: "/whep/{title}?rung={rung}".into(), end: end.map(Text::from) };
+        let paths = Paths {
+            set_up: "/whep/{title}?rung={rung}".into(),
+            end: end.map(Text::from),
+            events: Some("/events".into()),
+        };
         pool.listed(&ServerId::new(A), address(), &paths, ServerState::Ready, &mut Vec::new());
         World { pool, now: T, out: Vec::new(), told: Vec::new() }
     }
@@ -225,7 +229,7 @@
     world.set_up(1).unwrap();
     let conn = world.dials()[0];
     world.open(conn);
-    let paths = Paths { set_up: "/whep/{title}".into(), end: None };
+    let paths = Paths { set_up: "/whep/{title}".into(), end: None, events: None };
     let elsewhere = ([127, 0, 0, 1], 81).into();
     assert!(world.pool.listed(&ServerId::new(A), elsewhere, &paths, ServerState::Ready, &mut world.out));
     assert!(world.out.contains(&Command::Cut(conn, "moved")));
@@ -303,3 +307,25 @@
         prop_assert_eq!(world.told.iter().filter(settled).count(), 1, "{:?}", world.told);
     });
 }
+
+#[test]
+fn a_server_is_listened_to_while_sessions_stand_there() {
+    let mut world = World::new(None);
+    world.pool.tick(world.now, &mut world.out);
+    assert!(world.dials().is_empty(), "nothing stands there");
+    world.standing(1, "");
+    world.told.clear();
+    world.pool.tick(world.now, &mut world.out);
+    assert!(world.written()[0].starts_with("GET /events HTTP/1.1\r\n"));
+    let conn = world.pool.conns.iter().find(|(_, c)| c.exchange.is_some()).map(|(id, _)| *id).unwrap();
+    world.hear(conn, "HTTP/1.1 200 OK\r\n\r\ndata: {\"link\":0.8}\n\n");
+    assert_eq!(world.told, [Told::Note(SessionId(1), ServerId::new(A), Note::Link(0.8))]);
+    world.hear(conn, "data: {\"ended\":\"/made/1\"}\n\ndata: {\"ended\":\"/made/1\"}\n\n");
+    let over = Told::Over(SessionId(1), ServerId::new(A), Status::Completed, Load::default());
+    assert_eq!(world.told[1..], [over], "once");
+    assert!(!world.pool.holds(SessionId(1)));
+    world.pass(29_000);
+    assert!(!world.out.contains(&Command::Cut(conn, "no-answer")));
+    world.pass(31_000);
+    assert!(world.out.contains(&Command::Cut(conn, "no-answer")), "it has been silent for too long");
+}
--- a/src/eureka.rs
+++ b/src/eureka.rs
@@ -239,7 +239,8 @@
         let port = (1.0..=65535.0).contains(&port).then_some(port as u16)?;
         let path =
             |key: &str| metadata(key).and_then(Value::as_str).filter(|p| uri::is_path(p)).map(Text::from);
-        let paths = path("whep").map(|set_up| Paths { set_up, end: path("whep_end") });
+        let paths =
+            path("whep").map(|set_up| Paths { set_up, end: path("whep_end"), events: path("whep_events") });
         Some(Listed { entry, address: SocketAddr::new(host, port), paths })
     }
 }
--- a/src/records/lists.rs
+++ b/src/records/lists.rs
@@ -111,6 +111,12 @@
     })))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub end: Option<String>,
+    /// A path where the server tells of its load and of sessions that it ended, as server-sent events.
+    #[garde(inner(custom(|path: &str, _: &Bounds| {
+        if crate::http::uri::is_path(path) { Ok(()) } else { Err(garde::Error::new("no path")) }
+    })))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub events: Option<String>,
     /// The cell that it stands in, from 0; its rack is the cell modulo the number of racks.
     #[garde(custom(|c: &u32, bounds: &Bounds| good_cell(*c, bounds)))]
     pub cell: u32,
@@ -236,8 +242,10 @@
             wrong.push((format!("server[{i}].address"), "required, or a url".into()));
             continue;
         };
-        if server.end.is_some() && server.url.is_none() {
-            wrong.push((format!("server[{i}].end"), "needs a url".into()));
+        for (key, path) in [("end", &server.end), ("events", &server.events)] {
+            if path.is_some() && server.url.is_none() {
+                wrong.push((format!("server[{i}].{key}"), "needs a url".into()));
+            }
         }
         if server.address.is_some() && server.url.is_some() {
             wrong
--- a/src/roster/listed.rs
+++ b/src/roster/listed.rs
@@ -42,6 +42,8 @@
     pub set_up: Text,
     /// Where a session can be ended whose answer was lost, if the server knows sessions by the broker's names.
     pub end: Option<Text>,
+    /// Where the server tells of its load and of sessions that it ended, as server-sent events.
+    pub events: Option<Text>,
 }
 
 impl Listed {
--- a/src/watch/judge.rs
+++ b/src/watch/judge.rs
@@ -276,8 +276,13 @@
     entry.zone = index(&names.zones, &record.zone) as u32;
     entry.weight = weight.or(record.weight).unwrap_or(1.0);
     entry.up_since = record.started_ms.map(|ms| Micros(ms.saturating_mul(1000)));
-    let end = || record.end.as_deref().map(Into::into);
-    let paths = record.url.as_ref().map(|url| Paths { set_up: url.path.as_str().into(), end: end() });
+    let (end, events) =
+        (|| record.end.as_deref().map(Into::into), || record.events.as_deref().map(Into::into));
+    let paths = record.url.as_ref().map(|url| Paths {
+        set_up: url.path.as_str().into(),
+        end: end(),
+        events: events(),
+    });
     // One that is gone may have no place.
     let address = record.place().unwrap_or((std::net::Ipv4Addr::UNSPECIFIED, 0).into());
     Listed { entry, address, paths }
--- a/src/watch/tests.rs
+++ b/src/watch/tests.rs
@@ -172,7 +172,7 @@
         (b("kind = \"huge\""), "10: server[1].kind: no such kind: huge; the settings name std, big".into()),
         (b("zone = \"north\""), "10: server[1].zone: no such zone: north; the settings name east, west".into()),
         (b("state = \"up\""), "10: server[1].state: unknown variant `up`, expected one of `ready`, `draining`, `gone`".into()),
-        (b("wieght = 2"), "10: server[1].wieght: no such key; known here: `id`, `address`, `url`, `end`, `cell`, `kind`, `zone`, `weight`, `state`, `started_ms`".into()),
+        (b("wieght = 2"), "10: server[1].wieght: no such key; known here: `id`, `address`, `url`, `end`, `events`, `cell`, `kind`, `zone`, `weight`, `state`, `started_ms`".into()),
         (b("started_ms = -1"), "10: server[1].started_ms: invalid value: integer `-1`, expected u64".into()),
         (with(id, at, "99999"), "9: server[1].cell: 99999 is beyond the last cell, 2 (settings.FamilyInfo.Places = 3)".into()),
         (with(id, at, "-1"), "9: server[1].cell: invalid value: integer `-1`, expected u32".into()),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -600,7 +600,7 @@
     let mut world = World::new();
     let (viewer, old) = world.playing();
     let entry = ServerEntry::new(ServerId::new("s-0"), ServerState::Ready, 0);
-    let paths = amberspindle::roster::Paths { set_up: "/whep/{title}".into(), end: None };
+    let paths = amberspindle::roster::Paths { set_up: "/whep/{title}".into(), end: None, events: None };
     let listed = Listed { entry, address: ([127, 0, 0, 1], 1).into(), paths: Some(paths) };
     let news = News { kind: ListKind::Changes, servers: vec![listed] };
     world.node.news(world.now, news, &mut world.out);
