Read streams of events in one place, for the board and for media servers

The stream of a media server's events was written as the board's was: a reader of the answer, a decoder of events, and the same check of the status. Both use http::sse::Stream now. Behaviour is as it was; the tests are unchanged but for the name that they call.

--- a/src/board.rs
+++ b/src/board.rs
@@ -63,7 +63,7 @@
     last: u64,
     /// Askings since an event was taken in that found one missing or broken.
     troubled: u32,
-    stream: Option<(client::Reader, sse::Decoder)>,
+    stream: Option<sse::Stream>,
 }
 
 impl Board {
@@ -94,7 +94,7 @@
 
     /// What to write on a fresh connection.
     pub fn request(&mut self, host: &str) -> Vec<u8> {
-        self.stream = Some((client::Reader::default(), sse::Decoder::default()));
+        self.stream = Some(sse::Stream::default());
         let last = self.last.to_string();
         let headers = [("Accept", "text/event-stream"), ("Last-Event-ID", last.as_str())];
         client::request("GET", host, "/board/poll", &headers, None)
@@ -103,14 +103,9 @@
     /// Takes bytes of the connection in and hands over what is new, also before an error, which ends the
     /// connection: the board is then asked again from the last event that was read.
     pub fn bytes(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BoardError> {
-        let Some((reader, events)) = &mut self.stream else { return Ok(()) };
-        let mut body = Vec::new();
-        let read = reader.feed(bytes, &mut body);
-        if reader.status().is_some_and(|s| s != 200) {
-            return Err(HttpError::BadHead.into());
-        }
+        let Some(stream) = &mut self.stream else { return Ok(()) };
         let mut whole = Vec::new();
-        let told = events.feed(&body, &mut whole);
+        let read = stream.feed(bytes, &mut whole);
         for event in whole {
             let number = event.id.and_then(|id| id.trim().parse().ok());
             let value = serde_json::from_str::<Value>(&event.data).unwrap_or(Value::Null);
@@ -123,7 +118,7 @@
                 }
             }
         }
-        read.and(told).map_err(BoardError::from)
+        read.map_err(BoardError::from)
     }
 
     /// Takes one event in, unless it was heard before. It counts as heard only once it could be read, and only
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,10 +15,11 @@
 use crate::api::{Load, Micros, Note, Rung, ServerId, ServerState, SessionId, Status, Text};
 use crate::broker::{Description, SetUp};
 use crate::http::client::{self, Response, Responses};
+use crate::http::sse;
 use crate::http::uri::encode;
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::roster::Paths;
-use news::{News, Stream};
+use news::News;
 use proof::{Outcome, Proof, proof};
 
 /// Numbers of these connections lie above those of all others.
@@ -139,7 +140,7 @@
     closing: bool,
     responses: Responses,
     exchange: Option<Exchange>,
-    stream: Stream,
+    stream: sse::Stream,
     used: Micros,
 }
 
@@ -309,7 +310,7 @@
             self.next += 1;
             let conn = ConnId(FIRST_CONN + self.next);
             let (responses, exchange) = (Responses::default(), Some(exchange));
-            let (open, closing, stream) = (false, false, Stream::default());
+            let (open, closing, stream) = (false, false, sse::Stream::default());
             let dialled = Conn { address, open, closing, responses, exchange, stream, used: now };
             self.conns.insert(conn, dialled);
             out.push(Command::Dial(conn, address));
@@ -455,7 +456,7 @@
         c.used = now;
         if let Some(Exchange { work: Work::Events(server), .. }) = &c.exchange {
             let server = server.clone();
-            match c.stream.feed(bytes) {
+            match news::feed(&mut c.stream, bytes) {
                 Ok(news) => self.heard(&server, news, told),
                 Err(error) => {
                     c.closing = true;
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::api::Note;
-use crate::http::{HttpError, client, sse};
+use crate::http::{HttpError, sse};
 
 /// Something that a server told.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,24 +20,11 @@
     Ended(String),
 }
 
-/// Reads one stream.
-#[derive(Debug, Default)]
-pub struct Stream {
-    reader: client::Reader,
-    events: sse::Decoder,
-}
-
-impl Stream {
-    /// Takes bytes in; gives what was told. An error, or a status other than 200, ends it.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<News>, HttpError> {
-        let (mut body, mut events) = (Vec::new(), Vec::new());
-        self.reader.feed(bytes, &mut body)?;
-        if self.reader.status().is_some_and(|status| status != 200) {
-            return Err(HttpError::BadHead);
-        }
-        self.events.feed(&body, &mut events)?;
-        Ok(events.iter().flat_map(|event| read(&event.data)).collect())
-    }
+/// Takes bytes of a stream in; gives what was told. An error, or a status other than 200, ends it.
+pub fn feed(stream: &mut sse::Stream, bytes: &[u8]) -> Result<Vec<News>, HttpError> {
+    let mut events = Vec::new();
+    stream.feed(bytes, &mut events)?;
+    Ok(events.iter().flat_map(|event| read(&event.data)).collect())
 }
 
 /// Reads the data of one event; what is not known, or out of its range, is skipped.
@@ -62,13 +49,14 @@
         let text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\ndata: {\"link\":1.2,\"delivered\":0.9}\n\n\
             data: {\"delivered\":7,\"uplink\":-1,\"ended\":\"/made/1\"}\n\ndata: no\n\n";
         for size in [1, 3, 1000] {
-            let (mut stream, mut told) = (Stream::default(), Vec::new());
+            let (mut stream, mut told) = (sse::Stream::default(), Vec::new());
             for piece in text.as_bytes().chunks(size) {
-                told.extend(stream.feed(piece).unwrap());
+                told.extend(feed(&mut stream, piece).unwrap());
             }
             let load = [News::Note(Note::Link(1.2)), News::Note(Note::Delivered(0.9))];
             assert_eq!(told, [load.as_slice(), &[News::Ended("/made/1".into())]].concat());
         }
-        assert!(Stream::default().feed(b"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n").is_err());
+        let refused = b"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n";
+        assert!(feed(&mut sse::Stream::default(), refused).is_err());
     }
 }
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events.
 
-use super::{HttpError, LARGEST_HEAD};
+use super::{HttpError, LARGEST_HEAD, client};
 
 /// No event may be larger: a whole list of servers must fit.
 const LARGEST_EVENT: usize = 4 * 1024 * 1024;
@@ -63,3 +63,24 @@
         Ok(())
     }
 }
+
+/// The answer that a stream of events comes in.
+#[derive(Debug, Default)]
+pub struct Stream {
+    reader: client::Reader,
+    events: Decoder,
+}
+
+impl Stream {
+    /// Takes bytes of the connection in and hands over the events that are whole, also those before an error. An
+    /// answer with another status than 200 is none.
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), HttpError> {
+        let mut body = Vec::new();
+        let read = self.reader.feed(bytes, &mut body);
+        if self.reader.status().is_some_and(|status| status != 200) {
+            return Err(HttpError::BadHead);
+        }
+        let told = self.events.feed(&body, events);
+        read.and(told)
+    }
+}
