--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -133,6 +133,13 @@
     at: Micros,
 }
 
+impl Exchange {
+    /// Whether it is a session's set-up.
+    fn sets_up(&self, id: SessionId) -> bool {
+        matches!(&self.work, Work::SetUp { id: of, .. } if *of == id)
+    }
+}
+
 #[derive(Debug)]
 struct Conn {
     address: SocketAddr,
@@ -227,20 +234,19 @@
 
     /// Whether a session stands, or is set up, at a server of this kind.
     pub fn holds(&self, id: SessionId) -> bool {
-        self.resources.contains_key(&id) || self.attempt(id)
+        let mut out = self.conns.values().filter_map(|c| c.exchange.as_ref());
+        self.resources.contains_key(&id) || out.any(|e| e.sets_up(id)) || self.queued(id)
     }
 
-    fn attempt(&self, id: SessionId) -> bool {
-        let mine = |e: &Exchange| matches!(&e.work, Work::SetUp { id: of, .. } if *of == id);
-        self.conns.values().filter_map(|c| c.exchange.as_ref()).any(mine)
-            || self.waiting.values().flatten().any(mine)
+    /// Whether a set-up waits for a connection.
+    fn queued(&self, id: SessionId) -> bool {
+        self.waiting.values().flatten().any(|e| e.sets_up(id))
     }
 
     /// Whether a set-up still waits for its connection, so that it certainly has not run.
     pub fn waits(&self, id: SessionId) -> bool {
-        let mine = |e: &Exchange| matches!(&e.work, Work::SetUp { id: of, .. } if *of == id);
-        let unopened = self.conns.values().filter(|c| !c.open).filter_map(|c| c.exchange.as_ref()).any(mine);
-        unopened || self.waiting.values().flatten().any(mine)
+        let mut unopened = self.conns.values().filter(|c| !c.open).filter_map(|c| c.exchange.as_ref());
+        unopened.any(|e| e.sets_up(id)) || self.queued(id)
     }
 
     /// `Link` headers that name ICE servers, of the answer that a session had.
--- a/src/net/files.rs
+++ b/src/net/files.rs
@@ -14,7 +14,7 @@
 use tracing::{info, warn};
 
 use super::{Clock, Handle, micros, step, unix};
-use crate::api::Micros;
+use crate::api::{ListKind, Micros};
 use crate::config::{self, Config};
 use crate::disk::{self, Folder};
 use crate::records::Bounds;
@@ -47,8 +47,8 @@
     restored: Option<Kept>,
 }
 
-/// Announces a generation in the log and tells the node of it.
-pub(super) fn announce(shared: &Handle, taken: Taken) {
+/// The log's line of a generation that is in use.
+fn log_taken(taken: &Taken) {
     let digest = taken.digest.map(|d| d.short());
     info!(
         event = "list.taken",
@@ -60,6 +60,11 @@
         source = taken.source.name(),
         digest = digest.as_deref(),
     );
+}
+
+/// Announces a generation in the log and tells the node of it.
+pub(super) fn announce(shared: &Handle, taken: Taken) {
+    log_taken(&taken);
     step(shared, |node, now, out| node.news(now, taken.news, out));
     shared.listed.ring();
 }
@@ -243,17 +248,16 @@
     /// The files are what they were at the last stop.
     fn unchanged(&self, shared: &Handle, kept: &Kept) {
         let roster = shared.roster.borrow();
-        let (servers, digest) = (roster.current().servers.len(), roster.current().digest.map(|d| d.short()));
-        info!(
-            event = "list.taken",
-            generation = kept.generation,
-            servers,
-            added = 0,
-            changed = 0,
-            removed = 0,
-            source = Source::Watched.name(),
-            digest = digest.as_deref(),
-        );
+        log_taken(&Taken {
+            generation: kept.generation,
+            source: Source::Watched,
+            servers: roster.current().servers.len(),
+            added: 0,
+            changed: 0,
+            removed: 0,
+            digest: roster.current().digest,
+            news: News { kind: ListKind::Changes, servers: Vec::new() },
+        });
     }
 
     /// At the end of the start: says what is served from, where the files did not give it.
@@ -317,7 +321,7 @@
     }
     // The system is asked first: what changes after the first reading is not missed.
     let mut eyes = Eyes::new(&setup, to);
-    eyes.open();
+    eyes.moved();
     let mut told = Vec::new();
     work(&mut watch, &clock, &mut told);
     for told in told {
@@ -519,11 +523,6 @@
         wanted
     }
 
-    /// Opens what is not watched yet, or is another folder by now.
-    fn open(&mut self) {
-        self.moved();
-    }
-
     /// Whether a folder on the way is another one than before; it is watched from now on.
     fn moved(&mut self) -> bool {
         if self.watcher.is_none() {
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -597,8 +597,7 @@
 
     fn patch_response(&mut self, conn: ConnId, id: SessionId, response: Response, out: &mut Vec<Wish>) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        if let Some((of, keep)) = c.waits.take_if(|(of, _)| *of == id) {
-            debug_assert_eq!(of, id);
+        if let Some((_, keep)) = c.waits.take_if(|(of, _)| *of == id) {
             self.respond(conn, response, keep, None, out);
         }
     }
@@ -694,8 +693,7 @@
         let spent = self.setup.spent;
         self.bookings.retain(|_, b| matches!(b.stage, Stage::Held(_)) || now - b.at < spent);
         for (conn, c) in &mut self.conns {
-            if let Some((id, _)) = c.waits.filter(|_| c.streams && now - c.used >= events::COMMENT_EVERY) {
-                debug_assert!(self.sessions.contains_key(&id));
+            if c.waits.is_some() && c.streams && now - c.used >= events::COMMENT_EVERY {
                 c.used = now;
                 out.push(Wish::Write(*conn, [events::comment(), Vec::new()], None));
             }
