Tell of each request in the log on demand, as typed events within a budget of lines

Need: nothing in a broker's log says where a request went, so that the losses of the whole fleet could not be traced to their causes. Off unless asked for. Checked: each event comes back from text and JSON, also with odd words; ten thousand sessions stay within the budget.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod records;
 pub mod roster;
 mod state;
+pub mod trace;
 pub mod watch;
 pub mod whip;
 pub mod wire;
--- a/src/log.rs
+++ b/src/log.rs
@@ -45,7 +45,9 @@
             "message" => self.words += value,
             "event" => self.event += value,
             // What holds a space is quoted, so that a line can be taken apart.
-            name if value.contains([' ', '\n', '"']) => self.fields += &format!(" {name}={value:?}"),
+            name if value.contains(|c: char| c == ' ' || c == '"' || c.is_control()) => {
+                self.fields += &format!(" {name}={value:?}")
+            }
             name => self.fields += &format!(" {name}={value}"),
         }
     }
@@ -74,14 +76,56 @@
     }
 }
 
+/// The log in a form, written to a place.
+fn dispatch<W>(format: Format, to: W) -> tracing::Dispatch
+where
+    W: for<'a> tracing_subscriber::fmt::MakeWriter<'a> + Send + Sync + 'static,
+{
+    let layer = tracing_subscriber::fmt().with_writer(to).with_ansi(false).log_internal_errors(false);
+    match format {
+        Format::Text => layer.event_format(Text).finish().into(),
+        Format::Json => {
+            layer.json().flatten_event(true).with_target(false).with_current_span(false).finish().into()
+        }
+    }
+}
+
 /// Starts the log. A log that can't be written must not end the broker: what fails is dropped.
 pub fn start(format: Format) {
-    let layer = tracing_subscriber::fmt().with_writer(io::stdout).with_ansi(false).log_internal_errors(false);
     // A second start, as in tests, leaves the first in place.
-    let _ = match format {
-        Format::Text => tracing::subscriber::set_global_default(layer.event_format(Text).finish()),
-        Format::Json => tracing::subscriber::set_global_default(
-            layer.json().flatten_event(true).with_target(false).with_current_span(false).finish(),
-        ),
-    };
+    let _ = tracing::dispatcher::set_global_default(dispatch(format, io::stdout));
+}
+
+/// A place in memory, for tests of what lines look like.
+#[cfg(test)]
+#[derive(Clone, Default)]
+pub(crate) struct Sink(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+#[cfg(test)]
+impl Sink {
+    /// What was written.
+    pub(crate) fn text(&self) -> String {
+        let bytes = self.0.lock().map(|bytes| bytes.clone()).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+#[cfg(test)]
+impl io::Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Ok(mut all) = self.0.lock() {
+            all.extend_from_slice(bytes);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Does something with the log going to a place in memory.
+#[cfg(test)]
+pub(crate) fn to(format: Format, sink: Sink, act: impl FnOnce()) {
+    tracing::dispatcher::with_default(&dispatch(format, move || sink.clone()), act);
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,9 @@
         /// How the log is written
         #[arg(long, value_name = "FORMAT", default_value = "text")]
         log_format: log::Format,
+        /// Tell of each request in the log, so many lines a second at most; 0: not at all
+        #[arg(long, value_name = "LINES", default_value_t = 0)]
+        trace: u32,
     },
     /// Say whether the configuration can work, and the files that it watches; one line for each finding
     Check {
@@ -84,10 +87,10 @@
 
 fn command(command: Command) -> Result<(), Findings> {
     match command {
-        Command::Serve { config: file, log_format } => {
+        Command::Serve { config: file, log_format, trace } => {
             let config = read(file.as_deref())?;
             log::start(log_format);
-            net::run(&config, move || read(file.as_deref())).map_err(|e| Finding::whole("", e).into())
+            net::run(&config, trace, move || read(file.as_deref())).map_err(|e| Finding::whole("", e).into())
         }
         Command::Check { config } => {
             let config = read(config.as_deref())?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -133,10 +133,13 @@
 fn step<T>(shared: &Handle, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
     let now = shared.now();
     let mut commands = Vec::new();
-    let (result, lines) = {
+    let (result, lines, told) = {
         let mut node = shared.node.borrow_mut();
-        (act(&mut node, now, &mut commands), node.take_log())
+        (act(&mut node, now, &mut commands), node.take_log(), node.take_trace())
     };
+    for (at, event) in told {
+        event.write(at.0);
+    }
     for line in lines {
         info!(event = "module", "{line}");
     }
@@ -510,11 +513,17 @@
     }
 }
 
-/// Serves until it is told to stop. `reread` gives the configuration anew when that is asked for.
-pub fn run(config: &Config, reread: impl Fn() -> Result<Config, Findings> + 'static) -> io::Result<()> {
+/// Serves until it is told to stop. `trace` lines a second at most tell of requests in the log; `reread` gives the
+/// configuration anew when that is asked for.
+pub fn run(
+    config: &Config,
+    trace: u32,
+    reread: impl Fn() -> Result<Config, Findings> + 'static,
+) -> io::Result<()> {
     let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (board, known) = Board::new(config.names.clone(), &config.known);
     let shared = Shared::new(config, board);
+    shared.node.borrow_mut().trace(trace);
     let watched = config.watch.clone().map(|setup| files::start(&shared, config, setup));
     if !config.servers.is_empty() {
         files::hear(&shared, Source::Fixed, whole(config.servers.clone()));
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
 use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, Server, status};
 use crate::platform::viewer::{self, Said, Viewer};
 use crate::roster::{Names, News};
+use crate::trace::{Event as Traced, Tracer};
 use crate::watch::judge::Role;
 use crate::whip::{self, Title, Wish};
 
@@ -106,6 +107,8 @@
     look_at: Micros,
     stopping: bool,
     log: Vec<String>,
+    /// What is told of each request, where that is asked for.
+    tracer: Option<Tracer>,
 }
 
 impl Node {
@@ -130,6 +133,25 @@
             look_at: Micros(0),
             stopping: false,
             log: Vec::new(),
+            tracer: None,
+        }
+    }
+
+    /// Tells of each request from now on, so many lines a second at most; nothing for 0.
+    pub fn trace(&mut self, lines_per_s: u32) {
+        self.tracer = (lines_per_s > 0).then(|| Tracer::new(lines_per_s));
+    }
+
+    /// What is to be told of requests since the last call, and when each was.
+    pub fn take_trace(&mut self) -> Vec<(Micros, Traced)> {
+        self.tracer.as_mut().map(Tracer::take).unwrap_or_default()
+    }
+
+    /// Tells of the connections to a server that were opened since `before`.
+    fn dialled(&mut self, now: Micros, server: &ServerId, why: &str, fresh: &[Command]) {
+        if let Some(tracer) = &mut self.tracer {
+            let dials = fresh.iter().filter(|c| matches!(c, Command::Dial(..)));
+            dials.for_each(|_| tracer.dial(now, server, why));
         }
     }
 
@@ -177,8 +199,14 @@
     /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
     pub fn remembered(&self) -> usize {
         let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
-        let others =
-            [self.links.remembered(), self.links.len(), self.pool.remembered(), self.broker.remembered()];
+        let told = self.tracer.as_ref().map_or(0, Tracer::remembered);
+        let others = [
+            self.links.remembered(),
+            self.links.len(),
+            self.pool.remembered(),
+            self.broker.remembered(),
+            told,
+        ];
         own.into_iter().chain(others).max().unwrap_or(0)
     }
 
@@ -273,6 +301,11 @@
 
     /// A request goes to the core, unless the operator's script refuses it.
     fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
+        if let Some(tracer) = &mut self.tracer {
+            let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
+            let class = name(&self.names.classes, request.class);
+            tracer.asked(now, &request, &class, &name(&self.names.tenants, request.tenant));
+        }
         if let Some(hook) = &mut self.hook {
             let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
             let (class, tenant) =
@@ -331,7 +364,10 @@
 
     /// Finds out by one more connection whether a server is lost.
     fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
-        if !self.links.check(now, server, out) {
+        let before = out.len();
+        let there = self.links.check(now, server, out);
+        self.dialled(now, server, "check", &out[before..]);
+        if !there {
             self.tell(now, Input::Lost(server.clone()), out);
         }
     }
@@ -378,7 +414,11 @@
             self.pool.lost(now, &server, false, out);
             self.tell(now, Input::Lost(server), out);
         }
-        let servers = news.servers.into_iter().map(|l| l.entry).collect();
+        let servers: Vec<ServerEntry> = news.servers.into_iter().map(|l| l.entry).collect();
+        if let Some(tracer) = &mut self.tracer {
+            tracer.listed(&servers);
+            tracer.only(|id| self.servers.contains_key(id));
+        }
         self.tell(now, Input::Servers { kind: news.kind, servers }, out);
     }
 
@@ -566,7 +606,9 @@
             Said::Playing(request, server) => {
                 self.homes.entry(request.id).or_insert(conn);
                 self.tell(now, Input::Open(request, server.clone()), out);
+                let before = out.len();
                 self.links.attend(now, &server, out);
+                self.dialled(now, &server, "notes", &out[before..]);
             }
         }
     }
@@ -614,6 +656,9 @@
     }
 
     fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        if let Some(tracer) = &mut self.tracer {
+            tracer.told(now, &input);
+        }
         let mut effects = Vec::new();
         self.broker.handle(now, input, &mut effects);
         for effect in effects {
@@ -623,6 +668,9 @@
 
     fn carry_out(&mut self, now: Micros, effect: Effect, out: &mut Vec<Command>) {
         self.observed(&effect);
+        if let Some(tracer) = &mut self.tracer {
+            tracer.decided(now, &effect);
+        }
         match effect {
             Effect::Plays(id, answer) if self.owned_by_whip(id) => {
                 let ice = self.pool.ice(id).to_vec();
@@ -697,11 +745,16 @@
 
     fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
         let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
+        if let Some(tracer) = &mut self.tracer {
+            tracer.sent(now, set_up.id, &set_up.server, set_up.rung);
+        }
+        let before = out.len();
         let sent = if self.pool.serves(&set_up.server) {
             self.pool.set_up(now, set_up, &class, out)
         } else {
             self.links.set_up(now, set_up, &class, out)
         };
+        self.dialled(now, &set_up.server, "set-up", &out[before..]);
         if let Err(status) = sent {
             let (id, server, load) = (set_up.id, set_up.server.clone(), Load::default());
             self.tell(now, Input::Over { id, server, status, load }, out);
--- /dev/null
+++ b/src/trace/tests.rs
@@ -0,0 +1,155 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::api::{Micros, Request, Rung, ServerEntry, ServerId, ServerState, SessionId, Status, Text};
+use crate::log;
+
+/// The line that the log writes for an event, in either form.
+fn written(format: log::Format, event: &Event) -> String {
+    let sink = log::Sink::default();
+    log::to(format, sink.clone(), || event.write(1_700_000_000_123_456));
+    sink.text()
+}
+
+fn some_of_each(word: &str, n: u64) -> Vec<Event> {
+    let (w, id) = (word.to_owned(), format!("{n:016x}"));
+    vec![
+        Event::Asked {
+            id: id.clone(),
+            class: w.clone(),
+            tenant: w.clone(),
+            title: w.clone(),
+            left_ms: n,
+            again: true,
+        },
+        Event::Sent {
+            id: id.clone(),
+            attempt: n,
+            server: w.clone(),
+            rung: 3,
+            top: 5,
+            held_ms: n,
+            heard_ms: -1,
+            up_ms: 7,
+        },
+        Event::Turned { id: id.clone(), server: w.clone(), how: w.clone(), took_ms: n },
+        Event::Plays { id: id.clone(), server: w.clone(), attempts: 1, took_ms: n },
+        Event::Refused { id: id.clone(), reason: w.clone(), attempts: 4, took_ms: n, wait_ms: 500 },
+        Event::Failed { id: id.clone(), reason: w.clone(), attempts: 4, took_ms: n },
+        Event::Rung { id: id.clone(), server: w.clone(), from: 2, rung: 1 },
+        Event::Over { id, how: w.clone() },
+        Event::Dial { server: w.clone(), why: w.clone() },
+        Event::Told { server: w.clone(), what: w, mille: n },
+        Event::Dropped { lines: n, sessions: n },
+    ]
+}
+
+#[test]
+fn each_event_is_read_back_from_both_forms_and_from_no_part_of_its_line() {
+    for event in some_of_each("s-1f\"a b\n\u{7f}\\x=", 77) {
+        for format in [log::Format::Text, log::Format::Json] {
+            let line = written(format, &event);
+            let whole = line.strip_suffix('\n').unwrap_or(&line);
+            assert!(!whole.contains('\n'), "{whole}");
+            let read = Record::read(whole);
+            assert_eq!(read.as_ref().map(|r| &r.event), Some(&event), "{whole}");
+            assert_eq!(read.map(|r| r.at_us), Some(1_700_000_000_123_456));
+            assert_eq!(Record::read(&format!("12.345 {whole}")).map(|r| r.event), Some(event.clone()));
+        }
+    }
+    assert_eq!(some_of_each("", 0).len(), Event::NAMES.len());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::with_cases(200) })]
+
+    #[test]
+    fn any_words_come_back_and_any_line_is_borne(word in ".{0,12}", n in any::<u64>(), noise in ".{0,80}") {
+        for event in some_of_each(&word, n) {
+            for format in [log::Format::Text, log::Format::Json] {
+                let line = written(format, &event);
+                prop_assert_eq!(Record::read(line.trim_end_matches('\n')).map(|r| r.event), Some(event.clone()), "{}", line);
+                let cut = line.char_indices().map(|(i, _)| i).nth(n as usize % line.chars().count()).unwrap_or(0);
+                let _ = Record::read(&line[..cut]);
+            }
+        }
+        prop_assert_eq!(Record::read(&noise).is_some(), false);
+    }
+}
+
+fn request(n: u64) -> Request {
+    Request::new(SessionId(n), Text::from("t"), Micros(9_000_000), 1, 4)
+}
+
+#[test]
+fn a_session_is_told_from_its_request_to_its_end() {
+    let (mut tracer, at) = (Tracer::new(100), |ms: u64| Micros(1_000_000 + ms * 1000));
+    let mut entry = ServerEntry::new(ServerId::new("s"), ServerState::Ready, 0);
+    entry.up_since = Some(at(0));
+    tracer.listed(&[entry]);
+    tracer.heard(at(2), &ServerId::new("s"));
+    tracer.asked(at(5), &request(1), "live", "acme");
+    tracer.sent(at(6), SessionId(1), &ServerId::new("s"), Some(Rung(2)));
+    tracer.turned(at(9), SessionId(1), Status::Saturated);
+    tracer.sent(at(9), SessionId(1), &ServerId::new("other"), None);
+    tracer.plays(at(40), SessionId(1));
+    // What is set at the set-up is no change.
+    tracer.rung(at(41), SessionId(1), Rung(1));
+    tracer.over(at(90), SessionId(1), Some(Status::Completed));
+    let (id, s) = (format!("{:016x}", 1), "s".to_owned());
+    let told: Vec<Event> = tracer.take().into_iter().map(|(_, e)| e).collect();
+    let other = "other".to_owned();
+    assert_eq!(
+        told[1],
+        Event::Sent {
+            id: id.clone(),
+            attempt: 0,
+            server: s.clone(),
+            rung: 2,
+            top: 4,
+            held_ms: 1,
+            heard_ms: 4,
+            up_ms: 6
+        }
+    );
+    assert_eq!(told[2], Event::Turned { id: id.clone(), server: s, how: "full".into(), took_ms: 3 });
+    assert_eq!(
+        told[3],
+        Event::Sent {
+            id: id.clone(),
+            attempt: 1,
+            server: other.clone(),
+            rung: 0,
+            top: 4,
+            held_ms: 4,
+            heard_ms: -1,
+            up_ms: -1
+        }
+    );
+    assert_eq!(told[4], Event::Plays { id: id.clone(), server: other.clone(), attempts: 2, took_ms: 35 });
+    assert_eq!(told[5], Event::Rung { id: id.clone(), server: other, from: 0, rung: 1 });
+    assert_eq!(told[6], Event::Over { id, how: "completed".into() });
+    assert_eq!(tracer.remembered(), 1, "the one server");
+}
+
+#[test]
+fn a_crowd_is_told_in_part_within_its_budget_and_what_is_left_out_is_counted() {
+    let mut tracer = Tracer::new(50);
+    let mut told = Vec::new();
+    for n in 0..10_000u64 {
+        let now = Micros(1_000_000 + n * 1000);
+        tracer.asked(now, &request(n), "c", "t");
+        tracer.sent(now, SessionId(n), &ServerId::new("s"), Some(Rung(0)));
+        tracer.plays(now, SessionId(n));
+        tracer.over(now, SessionId(n), None);
+        told.extend(tracer.take());
+    }
+    // Ten seconds: the budget, what a pause saved, and a line a second on what was left out.
+    assert!((400..=620).contains(&told.len()), "{}", told.len());
+    let lines = |name: &str| told.iter().filter(|(_, e)| e.name() == name).count();
+    assert_eq!(lines("session.asked"), lines("session.over"), "sessions are told whole");
+    let left_out: u64 =
+        told.iter().map(|(_, e)| if let Event::Dropped { sessions, .. } = e { *sessions } else { 0 }).sum();
+    assert!(left_out + lines("session.asked") as u64 >= 9_000, "{left_out}");
+    assert_eq!(tracer.remembered(), 0);
+}
--- /dev/null
+++ b/src/trace/tracer.rs
@@ -0,0 +1,303 @@
+//! What of a broker's requests is told, within a budget of lines a second. A session is told whole or not at all
+//! as far as the budget allows, so that a request can be followed by its id.
+
+use std::collections::BTreeMap;
+
+use super::Event;
+use crate::api::{Micros, Note, Request, Rung, ServerEntry, ServerId, ServerState, SessionId, Status};
+use crate::broker::{Effect, Input};
+
+/// Lines that a session takes from its request to its answer, about.
+const SESSION_LINES: f64 = 4.0;
+/// Seconds of budget that a pause saves up.
+const BURST_S: f64 = 2.0;
+/// Seconds of budget that sessions which are traced already may overdraw.
+const OVERDRAFT_S: f64 = 2.0;
+/// What was left out is told so often.
+const DROPPED_EVERY: Micros = Micros(1_000_000);
+
+#[derive(Debug)]
+struct Traced {
+    asked: Micros,
+    top: u64,
+    rung: u64,
+    attempts: u64,
+    /// Where the attempt that is out went, and when.
+    out: Option<(ServerId, Micros)>,
+    server: ServerId,
+    last: &'static str,
+    stands: bool,
+}
+
+/// Lines a second, as a bucket that may be overdrawn.
+#[derive(Debug)]
+struct Budget {
+    per_s: f64,
+    left: f64,
+    at: Option<Micros>,
+}
+
+impl Budget {
+    fn refill(&mut self, now: Micros) {
+        let since = self.at.replace(now).map_or(Micros(0), |at| now - at);
+        self.left = (self.left + since.secs() * self.per_s).min(self.per_s * BURST_S);
+    }
+
+    /// Whether a new session may be told.
+    fn admits(&self) -> bool {
+        self.left >= SESSION_LINES.min(self.per_s)
+    }
+
+    /// Takes a line, if that is allowed.
+    fn line(&mut self) -> bool {
+        let allowed = self.left > -self.per_s * OVERDRAFT_S;
+        self.left -= f64::from(u8::from(allowed));
+        allowed
+    }
+}
+
+/// What is told of one broker's requests. Free of clocks and sockets.
+#[derive(Debug)]
+pub struct Tracer {
+    budget: Budget,
+    sessions: BTreeMap<SessionId, Traced>,
+    /// When each listed server was last heard, and when it started last.
+    servers: BTreeMap<ServerId, (Option<Micros>, Option<Micros>)>,
+    lines: Vec<(Micros, Event)>,
+    dropped: (u64, u64),
+    dropped_at: Micros,
+}
+
+fn ms(span: Micros) -> u64 {
+    span.0 / 1000
+}
+
+fn word(status: Status) -> &'static str {
+    match status {
+        Status::Completed => "completed",
+        Status::Errored => "error",
+        Status::Saturated => "full",
+        Status::TimedOut => "late",
+        Status::ConnectFailed => "refused",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::Moot => "moot",
+    }
+}
+
+fn named(id: SessionId) -> String {
+    format!("{:016x}", id.0)
+}
+
+impl Tracer {
+    /// Tells so many lines a second at most, over some seconds; none for 0.
+    pub fn new(lines_per_s: u32) -> Tracer {
+        let per_s = f64::from(lines_per_s);
+        Tracer {
+            budget: Budget { per_s, left: per_s * BURST_S, at: None },
+            sessions: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            lines: Vec::new(),
+            dropped: (0, 0),
+            dropped_at: Micros(0),
+        }
+    }
+
+    /// What is to be written since the last call.
+    pub fn take(&mut self) -> Vec<(Micros, Event)> {
+        std::mem::take(&mut self.lines)
+    }
+
+    /// Sessions or servers that are remembered, whichever are the most.
+    pub fn remembered(&self) -> usize {
+        self.sessions.len().max(self.servers.len())
+    }
+
+    fn push(&mut self, now: Micros, event: Event) {
+        self.budget.refill(now);
+        if self.budget.line() {
+            self.lines.push((now, event));
+        } else {
+            self.dropped.0 += 1;
+        }
+        if self.dropped != (0, 0) && now >= self.dropped_at + DROPPED_EVERY {
+            let (lines, sessions) = std::mem::take(&mut self.dropped);
+            self.dropped_at = now;
+            // This one goes beside the budget: once a second at most.
+            self.lines.push((now, Event::Dropped { lines, sessions }));
+        }
+    }
+
+    /// The list of servers: what is gone is forgotten.
+    pub fn listed(&mut self, entries: &[ServerEntry]) {
+        for entry in entries {
+            if entry.state == ServerState::Gone {
+                self.servers.remove(&entry.id);
+            } else {
+                self.servers.entry(entry.id.clone()).or_default().1 = entry.up_since;
+            }
+        }
+    }
+
+    /// These alone are left of a list that came whole.
+    pub fn only(&mut self, listed: impl Fn(&ServerId) -> bool) {
+        self.servers.retain(|id, _| listed(id));
+    }
+
+    /// A server was heard.
+    pub fn heard(&mut self, now: Micros, server: &ServerId) {
+        if let Some((heard, _)) = self.servers.get_mut(server) {
+            *heard = Some(now);
+        }
+    }
+
+    /// What the core is told by servers and clients.
+    pub fn told(&mut self, now: Micros, input: &Input) {
+        match input {
+            Input::Stands { server, .. } => self.heard(now, server),
+            Input::Over { id, server, status, .. } => {
+                if matches!(status, Status::Saturated | Status::Errored | Status::Completed) {
+                    self.heard(now, server);
+                }
+                self.turned(now, *id, *status);
+            }
+            Input::Note { server, note, .. } => {
+                self.heard(now, server);
+                self.note(now, server, *note);
+            }
+            Input::Left(id) => self.over(now, *id, None),
+            _ => {}
+        }
+    }
+
+    /// What the core decides. Of an attempt that is given up what follows tells why.
+    pub fn decided(&mut self, now: Micros, effect: &Effect) {
+        match effect {
+            Effect::GiveUp(id, _) => self.turned(now, *id, Status::TimedOut),
+            Effect::Rate(id, _, rung) => self.rung(now, *id, *rung),
+            Effect::Plays(id, _) => self.plays(now, *id),
+            Effect::Refused(id, wait) => self.refused(now, *id, *wait),
+            Effect::Failed(id, _) => self.failed(now, *id),
+            Effect::Ended(id, status) => self.over(now, *id, Some(*status)),
+            Effect::Moved(id) => self.moved(now, *id),
+            Effect::SetUp(_) | Effect::Cut(..) | Effect::Log(_) => {}
+        }
+    }
+
+    /// A client asks.
+    pub fn asked(&mut self, now: Micros, request: &Request, class: &str, tenant: &str) {
+        self.budget.refill(now);
+        if !self.budget.admits() {
+            self.dropped.1 += 1;
+            return;
+        }
+        let top = request.top.0 as u64;
+        let traced = Traced {
+            asked: now,
+            top,
+            rung: 0,
+            attempts: 0,
+            out: None,
+            server: ServerId::default(),
+            last: "unsent",
+            stands: false,
+        };
+        self.sessions.insert(request.id, traced);
+        let (class, tenant, title) = (class.to_owned(), tenant.to_owned(), request.title.to_string());
+        let (id, left_ms, again) = (named(request.id), ms(request.due - now), request.again);
+        self.push(now, Event::Asked { id, class, tenant, title, left_ms, again });
+    }
+
+    /// A set-up goes out.
+    pub fn sent(&mut self, now: Micros, id: SessionId, server: &ServerId, rung: Option<Rung>) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let (heard, up) = self.servers.get(server).copied().unwrap_or_default();
+        let age = |at: Option<Micros>| at.map_or(-1, |at| ms(now - at) as i64);
+        let (attempt, rung) = (s.attempts, rung.map_or(0, |r| r.0 as u64));
+        s.attempts += 1;
+        (s.rung, s.out) = (rung, Some((server.clone(), now)));
+        let (top, held_ms) = (s.top, ms(now - s.asked));
+        let (id, server) = (named(id), server.to_string());
+        let (heard_ms, up_ms) = (age(heard), age(up));
+        self.push(now, Event::Sent { id, attempt, server, rung, top, held_ms, heard_ms, up_ms });
+    }
+
+    /// An attempt ended without a session, or was given up.
+    pub fn turned(&mut self, now: Micros, id: SessionId, status: Status) {
+        let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.stands) else { return };
+        let Some((server, sent)) = s.out.take() else { return };
+        s.last = word(status);
+        let (how, took_ms) = (s.last.to_owned(), ms(now - sent));
+        self.push(now, Event::Turned { id: named(id), server: server.to_string(), how, took_ms });
+    }
+
+    /// Final answer: it plays.
+    pub fn plays(&mut self, now: Micros, id: SessionId) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.stands = true;
+        s.server = s.out.take().map(|(server, _)| server).unwrap_or_default();
+        let (server, attempts, took_ms) = (s.server.to_string(), s.attempts, ms(now - s.asked));
+        self.push(now, Event::Plays { id: named(id), server, attempts, took_ms });
+    }
+
+    /// Final answer: refused, with advice to stay away.
+    pub fn refused(&mut self, now: Micros, id: SessionId, wait: Micros) {
+        let Some(s) = self.sessions.remove(&id) else { return };
+        let (reason, attempts, took_ms) = (s.reason(), s.attempts, ms(now - s.asked));
+        self.push(now, Event::Refused { id: named(id), reason, attempts, took_ms, wait_ms: ms(wait) });
+    }
+
+    /// Final answer: failed.
+    pub fn failed(&mut self, now: Micros, id: SessionId) {
+        let Some(s) = self.sessions.remove(&id) else { return };
+        let (reason, attempts, took_ms) = (s.reason(), s.attempts, ms(now - s.asked));
+        self.push(now, Event::Failed { id: named(id), reason, attempts, took_ms });
+    }
+
+    /// The rung of a session changes.
+    pub fn rung(&mut self, now: Micros, id: SessionId, rung: Rung) {
+        let Some(s) = self.sessions.get_mut(&id).filter(|s| s.stands) else { return };
+        let (from, rung) = (std::mem::replace(&mut s.rung, rung.0 as u64), rung.0 as u64);
+        let server = s.server.to_string();
+        self.push(now, Event::Rung { id: named(id), server, from, rung });
+    }
+
+    /// A session that stood is over, or its client left.
+    pub fn over(&mut self, now: Micros, id: SessionId, how: Option<Status>) {
+        self.ended(now, id, how.map_or("left", word));
+    }
+
+    /// A session that stood is moved.
+    pub fn moved(&mut self, now: Micros, id: SessionId) {
+        self.ended(now, id, "moved");
+    }
+
+    fn ended(&mut self, now: Micros, id: SessionId, how: &str) {
+        if self.sessions.remove(&id).is_some() {
+            self.push(now, Event::Over { id: named(id), how: how.to_owned() });
+        }
+    }
+
+    /// A connection to a server is opened.
+    pub fn dial(&mut self, now: Micros, server: &ServerId, why: &str) {
+        self.push(now, Event::Dial { server: server.to_string(), why: why.to_owned() });
+    }
+
+    /// A server's word on its load.
+    pub fn note(&mut self, now: Micros, server: &ServerId, note: Note) {
+        let (what, share) = match note {
+            Note::Link(full) => ("link", full),
+            Note::Uplink(full) => ("uplink", full),
+            Note::Delivered(share) => ("delivered", share),
+            Note::Rung(_) => return,
+        };
+        let mille = (share.max(0.0) * 1000.0).round() as u64;
+        self.push(now, Event::Told { server: server.to_string(), what: what.to_owned(), mille });
+    }
+}
+
+impl Traced {
+    fn reason(&self) -> String {
+        if self.out.is_some() { "given-up".to_owned() } else { self.last.to_owned() }
+    }
+}
