--- a/src/node.rs
+++ b/src/node.rs
@@ -304,7 +304,8 @@
         if let Some(tracer) = &mut self.tracer {
             let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
             let class = name(&self.names.classes, request.class);
-            tracer.asked(now, &request, &class, &name(&self.names.tenants, request.tenant));
+            let most = self.settings.classes.get(request.class).map_or(Rung(0), |class| class.top);
+            tracer.asked(now, &request, (&class, most), &name(&self.names.tenants, request.tenant));
         }
         if let Some(hook) = &mut self.hook {
             let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -75,9 +75,11 @@
         attempt: u64,
         /// The server.
         server: String,
+        /// The server's zone.
+        zone: u64,
         /// The rung, from 0.
         rung: u64,
-        /// The highest rung that the client can use.
+        /// The highest rung that the client can use and its class allows.
         top: u64,
         /// Time since the request, ms.
         held_ms: u64,
--- a/src/trace/tests.rs
+++ b/src/trace/tests.rs
@@ -26,6 +26,7 @@
             id: id.clone(),
             attempt: n,
             server: w.clone(),
+            zone: 2,
             rung: 3,
             top: 5,
             held_ms: n,
@@ -88,7 +89,7 @@
     entry.up_since = Some(at(0));
     tracer.listed(&[entry]);
     tracer.heard(at(2), &ServerId::new("s"));
-    tracer.asked(at(5), &request(1), "live", "acme");
+    tracer.asked(at(5), &request(1), ("live", Rung(9)), "acme");
     tracer.sent(at(6), SessionId(1), &ServerId::new("s"), Some(Rung(2)));
     tracer.turned(at(9), SessionId(1), Status::Saturated);
     tracer.sent(at(9), SessionId(1), &ServerId::new("other"), None);
@@ -105,6 +106,7 @@
             id: id.clone(),
             attempt: 0,
             server: s.clone(),
+            zone: 0,
             rung: 2,
             top: 4,
             held_ms: 1,
@@ -119,6 +121,7 @@
             id: id.clone(),
             attempt: 1,
             server: other.clone(),
+            zone: 0,
             rung: 0,
             top: 4,
             held_ms: 4,
@@ -138,7 +141,7 @@
     let mut told = Vec::new();
     for n in 0..10_000u64 {
         let now = Micros(1_000_000 + n * 1000);
-        tracer.asked(now, &request(n), "c", "t");
+        tracer.asked(now, &request(n), ("c", Rung(9)), "t");
         tracer.sent(now, SessionId(n), &ServerId::new("s"), Some(Rung(0)));
         tracer.plays(now, SessionId(n));
         tracer.over(now, SessionId(n), None);
--- a/src/trace/tracer.rs
+++ b/src/trace/tracer.rs
@@ -29,6 +29,14 @@
     stands: bool,
 }
 
+/// What is known of a listed server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    heard: Option<Micros>,
+    up: Option<Micros>,
+    zone: u32,
+}
+
 /// Lines a second, as a bucket that may be overdrawn.
 #[derive(Debug)]
 struct Budget {
@@ -61,8 +69,7 @@
 pub struct Tracer {
     budget: Budget,
     sessions: BTreeMap<SessionId, Traced>,
-    /// When each listed server was last heard, and when it started last.
-    servers: BTreeMap<ServerId, (Option<Micros>, Option<Micros>)>,
+    servers: BTreeMap<ServerId, Known>,
     lines: Vec<(Micros, Event)>,
     dropped: (u64, u64),
     dropped_at: Micros,
@@ -134,7 +141,8 @@
             if entry.state == ServerState::Gone {
                 self.servers.remove(&entry.id);
             } else {
-                self.servers.entry(entry.id.clone()).or_default().1 = entry.up_since;
+                let known = self.servers.entry(entry.id.clone()).or_default();
+                (known.up, known.zone) = (entry.up_since, entry.zone);
             }
         }
     }
@@ -146,8 +154,8 @@
 
     /// A server was heard.
     pub fn heard(&mut self, now: Micros, server: &ServerId) {
-        if let Some((heard, _)) = self.servers.get_mut(server) {
-            *heard = Some(now);
+        if let Some(known) = self.servers.get_mut(server) {
+            known.heard = Some(now);
         }
     }
 
@@ -184,14 +192,14 @@
         }
     }
 
-    /// A client asks.
-    pub fn asked(&mut self, now: Micros, request: &Request, class: &str, tenant: &str) {
+    /// A client asks, of a class that plays up to a rung.
+    pub fn asked(&mut self, now: Micros, request: &Request, (class, most): (&str, Rung), tenant: &str) {
         self.budget.refill(now);
         if !self.budget.admits() {
             self.dropped.1 += 1;
             return;
         }
-        let top = request.top.0 as u64;
+        let top = request.top.min(most).0 as u64;
         let traced = Traced {
             asked: now,
             top,
@@ -211,7 +219,7 @@
     /// A set-up goes out.
     pub fn sent(&mut self, now: Micros, id: SessionId, server: &ServerId, rung: Option<Rung>) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        let (heard, up) = self.servers.get(server).copied().unwrap_or_default();
+        let Known { heard, up, zone } = self.servers.get(server).copied().unwrap_or_default();
         let age = |at: Option<Micros>| at.map_or(-1, |at| ms(now - at) as i64);
         let (attempt, rung) = (s.attempts, rung.map_or(0, |r| r.0 as u64));
         s.attempts += 1;
@@ -219,7 +227,8 @@
         let (top, held_ms) = (s.top, ms(now - s.asked));
         let (id, server) = (named(id), server.to_string());
         let (heard_ms, up_ms) = (age(heard), age(up));
-        self.push(now, Event::Sent { id, attempt, server, rung, top, held_ms, heard_ms, up_ms });
+        let zone = u64::from(zone);
+        self.push(now, Event::Sent { id, attempt, server, zone, rung, top, held_ms, heard_ms, up_ms });
     }
 
     /// An attempt ended without a session, or was given up.
