--- /dev/null
+++ b/lab/src/plan.rs
@@ -0,0 +1,195 @@
+//! What is played: the fleet, the viewers, and what goes wrong when.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use amberspindle::api::{Class, Effect, Micros, Rung, Settings};
+use amberspindle::config::Config;
+use serde_json::json;
+
+/// A crowd comes for a few titles, beside the usual viewers.
+#[derive(Clone, Copy, Debug)]
+pub struct Crowd {
+    /// From when, since the start.
+    pub from: Micros,
+    /// Until when.
+    pub until: Micros,
+    /// So many times the usual rate in all; the part beyond 1 is the crowd's.
+    pub times: f64,
+    /// So many titles, the least wanted ones; 0: spread like the usual ones.
+    pub titles: usize,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A box's process dies: its connections are reset, new ones refused.
+    Dies(usize),
+    /// A box falls silent: what is sent there gets no answer.
+    Silent(usize),
+    /// It comes back as it was from silence, or starts anew and cold after it died.
+    Back(usize),
+    /// A box drains: the brokers are told, and its sessions play on.
+    Drains(usize),
+    /// A box says full to brokers with odd numbers, whatever room it has.
+    FullToOdd(usize),
+    /// A broker is killed and starts at once, with nothing but the list.
+    Restart(usize),
+}
+
+/// A day.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// All chance comes from it.
+    pub seed: u64,
+    /// How long viewers come.
+    pub length: Micros,
+    /// Brokers.
+    pub brokers: usize,
+    /// Boxes.
+    pub boxes: usize,
+    /// Boxes in a rack.
+    pub rack: usize,
+    /// Part of its links that a rack's uplink carries, in the mean.
+    pub uplink: f64,
+    /// Racks and links differ by so much from what the list says, up or down.
+    pub uneven: f64,
+    /// Cells that the boxes stand in.
+    pub cells: u32,
+    /// Cells in a row that hold a title.
+    pub copies: u32,
+    /// Titles of each class.
+    pub titles: usize,
+    /// Requests a second over all brokers.
+    pub rate: f64,
+    /// Crowds.
+    pub crowds: Vec<Crowd>,
+    /// Faults and when they are, since the start.
+    pub faults: Vec<(Micros, Fault)>,
+    /// Until brokers hear of a change of the list.
+    pub notice: Micros,
+    /// What the brokers are told.
+    pub settings: Settings,
+    /// Time to the answer of a set-up in an idle box.
+    pub setup: Micros,
+    /// Mean length of a session.
+    pub life: Micros,
+}
+
+/// The names of the classes.
+pub const CLASSES: [&str; 3] = ["live-walkround", "assembly-guide", "product-clip"];
+/// Their shares of the requests.
+pub const SHARES: [f64; 3] = [0.25, 0.45, 0.3];
+
+/// What the brokers of such a fleet are told.
+fn settings(brokers: u32, boxes: usize, rack: usize, cells: u32) -> Settings {
+    let ladder: Vec<f64> = (0..6).map(|r| 200.0 * 1.5f64.powi(r)).collect();
+    let mut set = Settings::new(ladder, vec![0.2, 0.31, 0.45, 0.62, 0.8, 1.0]);
+    let ms = |ms: u64| Micros(ms * 1000);
+    let class = |aim, deadline, effect, worth, live, scale, top| Class {
+        worth,
+        live,
+        scale,
+        top: Rung(top),
+        ..Class::new(ms(aim), ms(deadline), effect)
+    };
+    set.classes = vec![
+        class(1500, 5000, Effect::Unsafe, 2.0, true, 1.0, 5),
+        class(1000, 3000, Effect::Safe, 1.0, false, 0.7, 2),
+        class(800, 5000, Effect::Safe, 1.0, false, 1.0, 5),
+    ];
+    (set.fronts, set.cells) = (brokers, cells);
+    set.racks = boxes.div_ceil(rack.max(1)) as u32;
+    set.tick = ms(10);
+    set.link_unit_kb = 5000.0;
+    set.kind_streams = vec![24];
+    (set.join, set.stall, set.switch_s) = (0.3, 7.0, 0.6);
+    (set.see, set.tell, set.guard) = (ms(900), ms(3000), 1.0);
+    (set.max_attempts, set.max_retry_after) = (4, ms(500));
+    (set.move_price, set.handshake_price, set.idle) = (0.05, 0.08, ms(30_000));
+    (set.drain_grace, set.cold, set.cold_from) = (ms(500), ms(8000), 0.5);
+    (set.fall_multiple, set.fall) = (2.5, ms(2000));
+    set.uplink_reported = true;
+    set
+}
+
+impl Plan {
+    /// A fleet of so many brokers and boxes, with viewers for about half of what its links carry.
+    pub fn new(seed: u64, brokers: usize, boxes: usize) -> Plan {
+        let (rack, uplink) = (6, 0.67);
+        // Cells are fewer than boxes, and racks are cells modulo their number.
+        let cells = (boxes / 2).max(3) as u32;
+        let mut settings = settings(brokers as u32, boxes, rack, cells);
+        settings.racks = settings.racks.min(cells);
+        settings.rack_kb = settings.link_unit_kb * uplink * boxes as f64 / f64::from(settings.racks);
+        Plan {
+            seed,
+            length: Micros(20_000_000),
+            brokers,
+            boxes,
+            rack,
+            uplink,
+            uneven: 0.22,
+            cells,
+            copies: 3,
+            titles: boxes * 2,
+            rate: boxes as f64 * 0.4,
+            crowds: Vec::new(),
+            faults: Vec::new(),
+            notice: Micros(2_000_000),
+            settings,
+            setup: Micros(25_000),
+            life: Micros(10_000_000),
+        }
+    }
+
+    /// A crowd that brings half as many viewers again within three seconds: boxes run short of places and links.
+    pub fn crowded(seed: u64, brokers: usize, boxes: usize) -> Plan {
+        let mut plan = Plan::new(seed, brokers, boxes);
+        plan.crowds =
+            vec![Crowd { from: Micros(8_000_000), until: Micros(11_000_000), times: 4.0, titles: 0 }];
+        plan
+    }
+
+    /// A box's name, as brokers know it.
+    pub fn name(&self, of: usize, start: u32) -> String {
+        format!("s-{of:04x}{start:04x}")
+    }
+
+    /// Where a box listens.
+    pub fn address(&self, of: usize) -> SocketAddr {
+        let of = of as u32;
+        (Ipv4Addr::from(0x0a01_0000 + of), 3868).into()
+    }
+
+    /// A box's cell.
+    pub fn cell(&self, of: usize) -> u32 {
+        of as u32 % self.cells
+    }
+
+    /// A box's rack.
+    pub fn rack_of(&self, of: usize) -> usize {
+        (self.cell(of) % self.settings.racks.max(1)) as usize
+    }
+
+    /// One broker's configuration. It differs from the others' by number and by chance.
+    pub fn config(&self, broker: usize, start: u32) -> Config {
+        let classes: Vec<_> = CLASSES
+            .iter()
+            .map(|name| json!({"Name": name, "Slo": 1000, "Deadline": 5000, "Effect": "read_like"}))
+            .collect();
+        let settings = json!({
+            "Instances": self.brokers, "SlotNo": broker, "Locality": 0, "Period": 10, "Kinds": ["std"], "Azs": ["one"],
+            "Tenants": [{"Name": "home"}], "RequestClasses": classes, "Limits": {"AttemptsCap": 4},
+            "FamilyInfo": {"LadderKb": [1.0], "LadderWorth": [1.0], "Places": self.cells, "Racks": 1,
+                "LinkUnitKb": 1.0, "RackKb": 1.0}, "Rules": {}});
+        let seed = format!(
+            "{:x}",
+            self.seed.wrapping_mul(0x9e37_79b9).wrapping_add(broker as u64 * 65_537) ^ u64::from(start)
+        );
+        let read = Config::read(&json!({"settings": settings, "seed": seed, "name": format!("n{broker}")}));
+        let mut config = read.unwrap_or_else(|findings| panic!("the laboratory's configuration: {findings}"));
+        config.settings = Settings { me: broker as u32, ..self.settings.clone() };
+        (config.idle, config.connect_timeout) = (self.settings.idle, Micros(250_000));
+        config
+    }
+}
