--- a/fleetlog/src/fold.rs
+++ b/fleetlog/src/fold.rs
@@ -150,10 +150,10 @@
     pub records: u64,
 }
 
+/// Of a fixed range: one that grows by itself does not do so for what it only saturates.
 fn histogram() -> Histogram<u64> {
-    let mut histogram = Histogram::new(2).unwrap_or_else(|_| unreachable!("two digits are allowed"));
-    histogram.auto(true);
-    histogram
+    Histogram::new_with_max(LONGEST_MS, 2)
+        .unwrap_or_else(|_| unreachable!("the range and two digits are allowed"))
 }
 
 impl Fold {
@@ -312,7 +312,7 @@
             // Sketches of one size add up.
             let _ = mine.merge(theirs);
         }
-        // Histograms that grow by themselves take each other in.
+        // Histograms of one range take each other in.
         let _ = self.heard_ms.add(&other.heard_ms);
         let _ = self.took_ms.add(&other.took_ms);
         self.left_out.0 += other.left_out.0;
--- a/fleetlog/src/fold/tests.rs
+++ b/fleetlog/src/fold/tests.rs
@@ -51,6 +51,20 @@
     assert_eq!(fold.by_server(&row), [1]);
 }
 
+#[test]
+fn quantiles_are_those_of_exact_times_within_a_hundredth() {
+    let (mut fold, mut sessions) = (Fold::new(1000), Sessions::default());
+    let ages: Vec<i64> = (0..10_000).map(|n| n * n / 1000).collect();
+    for (n, age) in ages.iter().enumerate() {
+        fold.record(&mut sessions, &at(1, sent(n as u64, "a", *age)));
+    }
+    for quantile in [0.5, 0.9, 0.99, 1.0] {
+        let exact = ages[((ages.len() - 1) as f64 * quantile) as usize] as f64;
+        let seen = fold.heard_ms.value_at_quantile(quantile) as f64;
+        assert!((seen - exact).abs() <= exact * 0.01 + 1.0, "{quantile}: {seen} for {exact}");
+    }
+}
+
 #[test]
 fn a_line_whose_request_is_not_in_the_log_counts_as_unknown() {
     let (mut fold, mut sessions) = (Fold::new(1000), Sessions::default());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -237,12 +237,18 @@
 impl Program {
     /// Starts it with the platform's configuration and waits until its fronts listen.
     pub fn platform(edges: &[&Edge], deadline: f64) -> Program {
+        Program::platform_with(edges, deadline, &[])
+    }
+
+    /// The same with options of `serve`.
+    pub fn platform_with(edges: &[&Edge], deadline: f64, options: &[&str]) -> Program {
         let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "known": known(edges), "settings": settings(deadline)});
         let files = tempdir::Dir::new();
         let path = files.write("config.json", &config.to_string());
         let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
-        command.arg("serve").env("LB_CONFIG", path).env_remove("LB_LISTEN").env_remove("LB_NAME");
+        command.arg("serve").args(options).env("LB_CONFIG", path);
+        command.env_remove("LB_LISTEN").env_remove("LB_NAME");
         Program::start(command, files, &["viewer"])
     }
 
