Cut playing sessions when a link or uplink is full at the latest

Checked: notes arrive and settle is called; refusals, late tries and handshakes are smaller shares (docs/design/fleet.md). Cause: plan in src/brain.rs puts the limit of a playing session's step at MARK + CUT_SPREAD times its distance, up to 1.27 and the band, whatever all others lose. Change: that limit lies at 1.0 at most.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,9 @@
 /// A playing session's step is cut at its limit, which lies so many times as far from the mark as that of a
 /// newcomer: steps of more worth are given up late, as each change costs a switch.
 const CUT_SPREAD: f64 = 3.0;
+/// No step's limit for playing sessions lies above this: a link that gives less than is asked costs all sessions
+/// there several points of worth for each that is missing, and a cut costs one of them one switch.
+const CUT_MOST: f64 = 1.0;
 /// Fullness over its limit at which playing sessions are cut unasked; small swings cost no switches.
 const CUT_BAND: f64 = 0.12;
 /// Delivered share under which sessions lose worth (the service's own bound).
@@ -513,7 +516,8 @@
                     if up { link.min(uplink) } else { link.max(uplink) }
                 };
                 let limit = Brain::limit(level);
-                let limit = if up || !u.playing { limit } else { MARK + CUT_SPREAD * (limit - MARK) };
+                let late = (MARK + CUT_SPREAD * (limit - MARK)).min(CUT_MOST);
+                let limit = if up || !u.playing { limit } else { late };
                 let over = left(limit + if u.playing { band } else { 0.0 }) > 0.0;
                 (if up { level } else { -level }, k, left(limit), kb, over && (!up || level > LEVEL_LEAST))
             };
