Let servers that a broker is connected to count for six times as much

Checked and ruled out: connections for sessions under way (6,252) are needed to hear their ends; a stable subset of servers would save about two of nineteen connections a broker, as those for sessions under way lie anywhere (docs/design/fleet.md). Cause: holder in src/brain.rs weighs a new connection like 0.16 of fullness at its price, less than what separates a guess from a figure. Change: HANDSHAKE_FULL 12 for 2.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -76,8 +76,9 @@
 /// Fullness that a crossing of zones counts for when holders are compared.
 const CROSS_ZONE_FULL: f64 = 0.15;
 /// Fullness that a new connection counts for when holders are compared, for each point of its price: of many
-/// fronts each sees little of any server, and would pay for nearly as many connections as it has sessions.
-const HANDSHAKE_FULL: f64 = 2.0;
+/// fronts each sees little of any server, and would pay for nearly as many connections as it has sessions. The
+/// server that it never heard is also the one whose fullness is a guess.
+const HANDSHAKE_FULL: f64 = 12.0;
 /// Fullness up to which luck decides between holders, so that fronts that know little do not go as one.
 const LUCK: f64 = 0.05;
 
