--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -45,8 +45,8 @@
 }
 
 /// Three crowded days. Before playing sessions were cut at the fullness of what a link gives at the latest, short
-/// delivery cost 1,718 there, now 893; before servers that are connected already counted for more, 324 set-ups met a
-/// full box and 0.88 connections were opened a session, now 236 and 0.84.
+/// delivery cost 1,718 there, now 798; before servers that are connected already counted for more, 324 set-ups met a
+/// full box and 0.88 connections were opened a session, now 226 and 0.77.
 #[test]
 fn a_crowd_meets_few_full_boxes_opens_few_connections_and_is_not_left_short() {
     let days: Vec<Tally> =
@@ -57,7 +57,7 @@
     let full = sum(|t| t.full as f64);
     assert!(full < 285.0, "answers that a box is full: {full}");
     let connections = sum(|t| t.connections as f64) / sum(|t| t.plays as f64);
-    assert!(connections < 0.86, "connections a session: {connections:.3}");
+    assert!(connections < 0.80, "connections a session: {connections:.3}");
     let tries = sum(|t| t.tries as f64) / sum(|t| t.requests as f64);
     assert!(tries < 1.13, "tries a request: {tries:.3}");
     assert!(days.iter().all(|t| t.max_over_mean(BOXES) < 2.5));
