Say each thing of tracing, fleetlog and the laboratory once

Seen on reading the change again: names of a request's class and tenant looked up twice in Node::ask; every news of the list compared with all servers for the tracer, though only a whole list leaves any out; where a traced session stands kept in two fields; two enums of the same tables, and the ratios of the page beside those of the tables; in the laboratory two settings that nothing read, a map of lives beside the tries that have them, and all racks added up anew for each box that tells how full it is. Change: one piece of code for each. Behaviour stays; no check or figure was changed.

--- a/fleetlog/src/fold.rs
+++ b/fleetlog/src/fold.rs
@@ -130,7 +130,7 @@
     rows: BTreeMap<u64, Row>,
     cells: usize,
     numbers: HashMap<String, u32>,
-    /// By server, zone, class and tenant.
+    /// By server.
     pub servers: Rows,
     /// By the zone of the server that was asked.
     pub zones: Rows,
--- a/fleetlog/src/main.rs
+++ b/fleetlog/src/main.rs
@@ -34,7 +34,7 @@
     /// A table: by second, server, zone, title, class or tenant
     By {
         /// Which
-        what: What,
+        what: By,
         #[command(flatten)]
         counted: Counted,
     },
@@ -68,29 +68,6 @@
     Json,
 }
 
-#[derive(Clone, Copy, Debug, ValueEnum)]
-enum What {
-    Second,
-    Server,
-    Zone,
-    Title,
-    Class,
-    Tenant,
-}
-
-impl From<What> for By {
-    fn from(what: What) -> By {
-        match what {
-            What::Second => By::Second,
-            What::Server => By::Server,
-            What::Zone => By::Zone,
-            What::Title => By::Title,
-            What::Class => By::Class,
-            What::Tenant => By::Tenant,
-        }
-    }
-}
-
 fn main() -> ExitCode {
     match command(Arguments::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
@@ -176,7 +153,7 @@
             Ok(())
         }
         Command::Summary(counted) => print(&table::summary(&count(&counted)?), counted.format),
-        Command::By { what, counted } => print(&table::by(&count(&counted)?, what.into()), counted.format),
+        Command::By { what, counted } => print(&table::by(&count(&counted)?, what), counted.format),
         Command::Html { out, counted } => {
             let fold = count(&counted)?;
             let page = page::page(&fold, "A fleet of playback brokers").map_err(other)?;
--- a/fleetlog/src/page.rs
+++ b/fleetlog/src/page.rs
@@ -5,7 +5,7 @@
 use crate::counts::Column;
 use crate::fold::{Fold, Row};
 use crate::spread;
-use crate::table::{self, By, Table};
+use crate::table::{self, By, Table, ratio};
 
 /// Width and height of a plot, in pixels.
 const SIZE: (u32, u32) = (900, 280);
@@ -66,7 +66,6 @@
         (name, points.collect())
     };
     let each = |name, column: Column| line(name, &move |row| Some(row.counts.get(column) as f64 / width));
-    let ratio = |a: u64, b: u64| (b > 0).then(|| a as f64 / b as f64);
     let plots = [
         (
             "A second: requests, attempts, sessions set up, answers that a server is full",
@@ -87,10 +86,7 @@
         ),
         (
             "Rungs under the highest, at set-up",
-            vec![line("rungs", &|row| {
-                let c = &row.counts;
-                ratio(c.get(Column::Tops).saturating_sub(c.get(Column::Rungs)), c.get(Column::Tries))
-            })],
+            vec![line("rungs", &|row| table::rungs_under_top(&row.counts))],
         ),
         (
             "How unevenly sessions fall on servers",
--- a/fleetlog/src/table.rs
+++ b/fleetlog/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use clap::ValueEnum;
 use hdrhistogram::Histogram;
 use serde_json::{Map, Value};
 
@@ -10,7 +11,7 @@
 use crate::spread;
 
 /// What a table shows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum By {
     /// Rows of time, with how evenly sessions fell on servers and how old the words were that attempts rest on.
     Second,
@@ -47,17 +48,19 @@
     counts.all().iter().map(|n| Value::from(*n))
 }
 
-fn ratio(a: u64, b: u64) -> Option<f64> {
+/// One count over another; none over nothing.
+pub(crate) fn ratio(a: u64, b: u64) -> Option<f64> {
     (b > 0).then(|| a as f64 / b as f64)
 }
 
-/// Tries for each session that was set up or turned away, and rungs under the highest.
+/// Rungs under the highest, at a set-up.
+pub(crate) fn rungs_under_top(c: &Counts) -> Option<f64> {
+    ratio(c.get(Column::Tops).saturating_sub(c.get(Column::Rungs)), c.get(Column::Tries))
+}
+
+/// Tries a request, and rungs under the highest.
 fn derived(c: &Counts) -> [Value; 2] {
-    let under = c.get(Column::Tops).saturating_sub(c.get(Column::Rungs));
-    [
-        rounded(ratio(c.get(Column::Tries), c.get(Column::Offered))),
-        rounded(ratio(under, c.get(Column::Tries))),
-    ]
+    [rounded(ratio(c.get(Column::Tries), c.get(Column::Offered))), rounded(rungs_under_top(c))]
 }
 
 fn named(what: &str, rows: &Rows) -> Table {
--- a/lab/src/boxes.rs
+++ b/lab/src/boxes.rs
@@ -104,16 +104,12 @@
     }
 }
 
-/// Fullness of each rack's uplink.
-pub fn uplinks(
-    boxes: &[MediaBox],
-    rack_of: impl Fn(usize) -> usize,
-    racks_kb: &[f64],
-    set: &Settings,
-) -> Vec<f64> {
-    let mut asked = vec![0.0; racks_kb.len()];
-    for (i, at) in boxes.iter().enumerate() {
-        asked[rack_of(i)] += at.asked_kb(set);
-    }
-    asked.iter().zip(racks_kb).map(|(asked, kb)| asked / kb.max(1.0)).collect()
+/// The share of its rates that a box delivers, by the fullness of its link and its rack's uplink.
+pub fn delivered([link, uplink]: [f64; 2]) -> f64 {
+    1.0 / link.max(uplink).max(1.0)
+}
+
+/// Fullness of a rack's uplink, by its boxes.
+pub fn uplink<'a>(boxes: impl Iterator<Item = &'a MediaBox>, kb: f64, set: &Settings) -> f64 {
+    boxes.map(|at| at.asked_kb(set)).sum::<f64>() / kb.max(1.0)
 }
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -49,10 +49,6 @@
     pub brokers: usize,
     /// Boxes.
     pub boxes: usize,
-    /// Boxes in a rack.
-    pub rack: usize,
-    /// Part of its links that a rack's uplink carries, in the mean.
-    pub uplink: f64,
     /// Racks and links differ by so much from what the list says, up or down.
     pub uneven: f64,
     /// Cells that the boxes stand in.
@@ -82,8 +78,13 @@
 /// Their shares of the requests.
 pub const SHARES: [f64; 3] = [0.25, 0.45, 0.3];
 
+/// Boxes in a rack.
+const RACK: usize = 6;
+/// Part of its links that a rack's uplink carries, in the mean.
+const UPLINK: f64 = 0.67;
+
 /// What the brokers of such a fleet are told.
-fn settings(brokers: u32, boxes: usize, rack: usize, cells: u32) -> Settings {
+fn settings(brokers: u32, boxes: usize, cells: u32) -> Settings {
     let ladder: Vec<f64> = (0..6).map(|r| 200.0 * 1.5f64.powi(r)).collect();
     let mut set = Settings::new(ladder, vec![0.2, 0.31, 0.45, 0.62, 0.8, 1.0]);
     let ms = |ms: u64| Micros(ms * 1000);
@@ -100,9 +101,11 @@
         class(800, 5000, Effect::Safe, 1.0, false, 1.0, 5),
     ];
     (set.fronts, set.cells) = (brokers, cells);
-    set.racks = boxes.div_ceil(rack.max(1)) as u32;
+    // Racks are cells modulo their number.
+    set.racks = (boxes.div_ceil(RACK) as u32).min(cells);
     set.tick = ms(10);
     set.link_unit_kb = 5000.0;
+    set.rack_kb = set.link_unit_kb * UPLINK * boxes as f64 / f64::from(set.racks);
     set.kind_streams = vec![24];
     (set.join, set.stall, set.switch_s) = (0.3, 7.0, 0.6);
     (set.see, set.tell, set.guard) = (ms(900), ms(3000), 1.0);
@@ -117,19 +120,13 @@
 impl Plan {
     /// A fleet of so many brokers and boxes, with viewers for about half of what its links carry.
     pub fn new(seed: u64, brokers: usize, boxes: usize) -> Plan {
-        let (rack, uplink) = (6, 0.67);
-        // Cells are fewer than boxes, and racks are cells modulo their number.
         let cells = (boxes / 2).max(3) as u32;
-        let mut settings = settings(brokers as u32, boxes, rack, cells);
-        settings.racks = settings.racks.min(cells);
-        settings.rack_kb = settings.link_unit_kb * uplink * boxes as f64 / f64::from(settings.racks);
+        let settings = settings(brokers as u32, boxes, cells);
         Plan {
             seed,
             length: Micros(20_000_000),
             brokers,
             boxes,
-            rack,
-            uplink,
             uneven: 0.22,
             cells,
             copies: 3,
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -10,7 +10,7 @@
 use amberspindle::roster::{Listed, News};
 use serde_json::{Value, json};
 
-use crate::boxes::{Health, Held, MediaBox, uplinks};
+use crate::boxes::{Health, Held, MediaBox, delivered, uplink};
 use crate::plan::{CLASSES, Fault, Plan};
 use crate::queue::Queue;
 use crate::rules::{Cold, Rules};
@@ -119,7 +119,6 @@
     /// Brokers that a box delivered short to.
     short: BTreeSet<usize>,
     tries: BTreeMap<SessionId, Try>,
-    lives: BTreeMap<SessionId, Micros>,
     viewers: Viewers,
     /// The rules.
     pub rules: Rules,
@@ -168,7 +167,6 @@
             untold: BTreeMap::new(),
             short: BTreeSet::new(),
             tries: BTreeMap::new(),
-            lives: BTreeMap::new(),
             viewers,
             rules: Rules::default(),
             tally: Tally::default(),
@@ -365,7 +363,6 @@
             "key": &*ask.title, "extras": extras}});
         self.queue.at(now + class.deadline, Due::GivesUp(ask.id));
         let start = self.slots[broker].start;
-        self.lives.insert(ask.id, ask.life);
         self.tries.insert(
             ask.id,
             Try { ask, tries, asked: now, answered: false, broker: (broker, start), plays: false },
@@ -551,10 +548,24 @@
         }
     }
 
+    /// Fullness of a rack's uplink.
+    fn uplink(&self, rack: usize) -> f64 {
+        let there = self.boxes.iter().enumerate().filter(|(i, _)| self.plan.rack_of(*i) == rack);
+        uplink(there.map(|(_, at)| at), self.racks_kb[rack], &self.plan.settings)
+    }
+
+    /// Fullness of a box's link and of its rack's uplink.
     fn fullness(&self, of: usize) -> [f64; 2] {
+        let link = self.boxes[of].full(self.queue.now(), &self.plan.settings);
+        [link, self.uplink(self.plan.rack_of(of))]
+    }
+
+    /// The same of all boxes, each rack looked at once.
+    fn fullness_of_all(&self) -> Vec<[f64; 2]> {
+        let uplinks: Vec<f64> = (0..self.racks_kb.len()).map(|rack| self.uplink(rack)).collect();
         let (now, set) = (self.queue.now(), &self.plan.settings);
-        let uplinks = uplinks(&self.boxes, |i| self.plan.rack_of(i), &self.racks_kb, set);
-        [self.boxes[of].full(now, set), uplinks[self.plan.rack_of(of)]]
+        let both = |(i, at): (usize, &MediaBox)| [at.full(now, set), uplinks[self.plan.rack_of(i)]];
+        self.boxes.iter().enumerate().map(both).collect()
     }
 
     /// Writes to a broker on one of its connections to a box, or on the next.
@@ -583,7 +594,7 @@
         bytes.extend(note(id, "wire", link));
         bytes.extend(note(id, "trunk", uplink));
         self.say(of, broker, Micros(0), bytes);
-        let life = self.lives.get(&id).copied().unwrap_or_default();
+        let life = self.tries.get(&id).map_or(Micros(0), |of| of.ask.life);
         self.queue.after(life, Due::Over(of, start, id));
     }
 
@@ -609,8 +620,9 @@
     }
 
     fn tell(&mut self) {
+        let full = self.fullness_of_all();
         for of in self.heard_from() {
-            let [link, uplink] = self.fullness(of);
+            let [link, uplink] = full[of];
             for (broker, id) in self.one_each(of) {
                 let mut bytes = note(id, "wire", link);
                 bytes.extend(note(id, "trunk", uplink));
@@ -620,15 +632,10 @@
         self.queue.after(self.plan.settings.tell, Due::Tell);
     }
 
-    /// The share of its rates that a box delivers.
-    fn delivered(&self, of: usize) -> f64 {
-        let [link, uplink] = self.fullness(of);
-        1.0 / link.max(uplink).max(1.0)
-    }
-
     fn tell_short(&mut self) {
+        let full = self.fullness_of_all();
         for of in self.heard_from() {
-            let share = self.delivered(of);
+            let share = delivered(full[of]);
             // Once more after it was short, so that brokers hear that it is over.
             let was = if share < SHORT { !self.short.insert(of) } else { self.short.remove(&of) };
             if share < SHORT || was {
@@ -644,17 +651,16 @@
         let set = &self.plan.settings;
         let now = self.queue.now();
         if now - START < self.plan.length {
-            let uplinks = uplinks(&self.boxes, |i| self.plan.rack_of(i), &self.racks_kb, set);
+            let full = self.fullness_of_all();
             for (of, at) in self.boxes.iter().enumerate() {
                 if matches!(at.health, Health::Silent | Health::Dead) {
                     continue;
                 }
-                let share = 1.0 / at.full(now, set).max(uplinks[self.plan.rack_of(of)]).max(1.0);
-                let kept = (1.0 - set.stall * (SHORT - share).max(0.0)).max(0.0);
+                let kept = (1.0 - set.stall * (SHORT - delivered(full[of])).max(0.0)).max(0.0);
                 for held in at.held.values().filter(|h| h.plays) {
-                    let full = set.classes[held.class].worth * set.rung_worth[held.rung] * SAMPLE.secs();
-                    self.tally.worth.1 += full * kept;
-                    self.tally.short += full * (1.0 - kept);
+                    let worth = set.classes[held.class].worth * set.rung_worth[held.rung] * SAMPLE.secs();
+                    self.tally.worth.1 += worth * kept;
+                    self.tally.short += worth * (1.0 - kept);
                 }
             }
         }
@@ -690,8 +696,8 @@
         let held = std::mem::take(&mut self.boxes[of].held);
         for id in held.keys() {
             self.rules.ended(*id, of);
-            if let Some(at) = self.tries.get(id).filter(|t| t.plays).map(|_| *id) {
-                self.comes_again(at, 0.0);
+            if self.tries.get(id).is_some_and(|t| t.plays) {
+                self.comes_again(*id, 0.0);
             }
         }
         let lines: Vec<Line> = self.ways.iter().filter(|(_, way)| way.of == of).map(|(l, _)| *l).collect();
@@ -745,19 +751,16 @@
             at.held.retain(|_, h| h.broker != broker);
         }
         self.untold.retain(|(_, of), _| *of != broker);
-        let own = self.tries.iter().filter(|(_, t)| t.broker == (broker, start));
-        let own: Vec<(SessionId, bool)> =
-            own.filter(|(_, t)| t.plays || !t.answered).map(|(id, t)| (*id, t.answered)).collect();
-        for (id, answered) in own {
-            if !answered {
-                self.rules.excused(id);
-                if let Some(of) = self.tries.get_mut(&id) {
-                    of.answered = true;
-                }
-            }
-            if let Some(of) = self.tries.get_mut(&id) {
-                of.plays = false;
+        let own = self.tries.iter_mut().filter(|(_, t)| t.broker == (broker, start));
+        let mut own: Vec<(&SessionId, &mut Try)> = own.filter(|(_, t)| t.plays || !t.answered).collect();
+        for (id, of) in &mut own {
+            if !std::mem::replace(&mut of.answered, true) {
+                self.rules.excused(**id);
             }
+            of.plays = false;
+        }
+        let own: Vec<SessionId> = own.into_iter().map(|(id, _)| *id).collect();
+        for id in own {
             self.comes_again(id, 0.0);
         }
         self.rules.restarted(broker);
--- a/src/node.rs
+++ b/src/node.rs
@@ -111,6 +111,11 @@
     tracer: Option<Tracer>,
 }
 
+/// What the settings name the `i`th of a list; nothing if there is none.
+fn named(list: &[String], i: usize) -> &str {
+    list.get(i).map_or("", String::as_str)
+}
+
 impl Node {
     /// A node that knows its configuration.
     pub fn new(config: &Config) -> Node {
@@ -147,7 +152,7 @@
         self.tracer.as_mut().map(Tracer::take).unwrap_or_default()
     }
 
-    /// Tells of the connections to a server that were opened since `before`.
+    /// Tells of the connections to a server that are among fresh commands.
     fn dialled(&mut self, now: Micros, server: &ServerId, why: &str, fresh: &[Command]) {
         if let Some(tracer) = &mut self.tracer {
             let dials = fresh.iter().filter(|c| matches!(c, Command::Dial(..)));
@@ -302,16 +307,14 @@
     /// A request goes to the core, unless the operator's script refuses it.
     fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
         if let Some(tracer) = &mut self.tracer {
-            let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
-            let class = name(&self.names.classes, request.class);
             let most = self.settings.classes.get(request.class).map_or(Rung(0), |class| class.top);
-            tracer.asked(now, &request, (&class, most), &name(&self.names.tenants, request.tenant));
+            let class = (named(&self.names.classes, request.class), most);
+            tracer.asked(now, &request, class, named(&self.names.tenants, request.tenant));
         }
         if let Some(hook) = &mut self.hook {
-            let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
             let (class, tenant) =
-                (name(&self.names.classes, request.class), name(&self.names.tenants, request.tenant));
-            let verdict = hook.on_request(&request, &class, &tenant);
+                (named(&self.names.classes, request.class), named(&self.names.tenants, request.tenant));
+            let verdict = hook.on_request(&request, class, tenant);
             match self.unhook(verdict) {
                 Some(Verdict::Refuse(wait)) => {
                     return self.carry_out(now, Effect::Refused(request.id, wait), out);
@@ -418,7 +421,9 @@
         let servers: Vec<ServerEntry> = news.servers.into_iter().map(|l| l.entry).collect();
         if let Some(tracer) = &mut self.tracer {
             tracer.listed(&servers);
-            tracer.only(|id| self.servers.contains_key(id));
+            if news.kind == ListKind::Complete {
+                tracer.only(|id| self.servers.contains_key(id));
+            }
         }
         self.tell(now, Input::Servers { kind: news.kind, servers }, out);
     }
--- a/src/trace/tracer.rs
+++ b/src/trace/tracer.rs
@@ -24,9 +24,10 @@
     attempts: u64,
     /// Where the attempt that is out went, and when.
     out: Option<(ServerId, Micros)>,
-    server: ServerId,
+    /// How the last attempt ended.
     last: &'static str,
-    stands: bool,
+    /// Where it plays.
+    stands: Option<ServerId>,
 }
 
 /// What is known of a listed server.
@@ -200,16 +201,8 @@
             return;
         }
         let top = request.top.min(most).0 as u64;
-        let traced = Traced {
-            asked: now,
-            top,
-            rung: 0,
-            attempts: 0,
-            out: None,
-            server: ServerId::default(),
-            last: "unsent",
-            stands: false,
-        };
+        let traced =
+            Traced { asked: now, top, rung: 0, attempts: 0, out: None, last: "unsent", stands: None };
         self.sessions.insert(request.id, traced);
         let (class, tenant, title) = (class.to_owned(), tenant.to_owned(), request.title.to_string());
         let (id, left_ms, again) = (named(request.id), ms(request.due - now), request.again);
@@ -233,7 +226,7 @@
 
     /// An attempt ended without a session, or was given up.
     pub fn turned(&mut self, now: Micros, id: SessionId, status: Status) {
-        let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.stands) else { return };
+        let Some(s) = self.sessions.get_mut(&id).filter(|s| s.stands.is_none()) else { return };
         let Some((server, sent)) = s.out.take() else { return };
         s.last = word(status);
         let (how, took_ms) = (s.last.to_owned(), ms(now - sent));
@@ -243,9 +236,10 @@
     /// Final answer: it plays.
     pub fn plays(&mut self, now: Micros, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        s.stands = true;
-        s.server = s.out.take().map(|(server, _)| server).unwrap_or_default();
-        let (server, attempts, took_ms) = (s.server.to_string(), s.attempts, ms(now - s.asked));
+        let server = s.out.take().map(|(server, _)| server).unwrap_or_default();
+        let (attempts, took_ms) = (s.attempts, ms(now - s.asked));
+        s.stands = Some(server.clone());
+        let server = server.to_string();
         self.push(now, Event::Plays { id: named(id), server, attempts, took_ms });
     }
 
@@ -265,9 +259,9 @@
 
     /// The rung of a session changes.
     pub fn rung(&mut self, now: Micros, id: SessionId, rung: Rung) {
-        let Some(s) = self.sessions.get_mut(&id).filter(|s| s.stands) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(server) = s.stands.as_ref().map(ServerId::to_string) else { return };
         let (from, rung) = (std::mem::replace(&mut s.rung, rung.0 as u64), rung.0 as u64);
-        let server = s.server.to_string();
         self.push(now, Event::Rung { id: named(id), server, from, rung });
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -53,21 +53,20 @@
 
 #[test]
 fn each_step_of_a_request_is_told_where_that_is_asked_for() {
-    {
-        let edge = Edge::start(Manner::Answers);
-        let program = Program::platform_with(&[&edge], LONG, &["--trace", "100"]);
-        let mut viewer = Viewer::new(&program);
-        viewer.set_up(A, "paid", "");
-        assert_eq!(viewer.hear().unwrap()["type"], "answer");
-        viewer.say(json!({"type": "release", "id": A, "fields": {}, "cause": 34}));
-        program.logged("session.over");
-        let log = program.log.0.lock().unwrap();
-        let told: Vec<&str> =
-            log.iter().filter_map(|line| Record::read(line)).map(|r| r.event.name()).collect();
-        let steps = ["session.asked", "session.sent", "link.dial", "session.plays", "session.over"];
-        assert_eq!(told, steps, "{log:?}");
-    }
     let edge = Edge::start(Manner::Answers);
+    let told = |program: &Program| -> Vec<&'static str> {
+        let log = program.log.0.lock().unwrap();
+        log.iter().filter_map(|line| Record::read(line)).map(|r| r.event.name()).collect()
+    };
+    let program = Program::platform_with(&[&edge], LONG, &["--trace", "100"]);
+    let mut viewer = Viewer::new(&program);
+    viewer.set_up(A, "paid", "");
+    assert_eq!(viewer.hear().unwrap()["type"], "answer");
+    viewer.say(json!({"type": "release", "id": A, "fields": {}, "cause": 34}));
+    program.logged("session.over");
+    let steps = ["session.asked", "session.sent", "link.dial", "session.plays", "session.over"];
+    assert_eq!(told(&program), steps);
+
     let program = Program::platform(&[&edge], LONG);
     let mut viewer = Viewer::new(&program);
     viewer.set_up(A, "paid", "");
