Divide the node by front and put the decision module under one folder

Change: node is divided into viewers, http and servers beside what joins them; api, brain and state are under module, and go on being reached as api and brain.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,9 +27,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
 pub mod board;
-pub mod brain;
 pub mod broker;
 pub mod config;
 pub mod disk;
@@ -39,13 +37,15 @@
 pub mod http;
 pub mod log;
 pub mod message;
+pub mod module;
 pub mod net;
 pub mod node;
 pub mod platform;
 pub mod records;
 pub mod roster;
-mod state;
 pub mod trace;
 pub mod watch;
 pub mod whip;
 pub mod wire;
+
+pub use module::{api, brain};
--- a/src/brain.rs
+++ b/src/module/brain.rs
@@ -1,10 +1,10 @@
-//! Every decision of a front: which server and rung, when to hold, when to cut. Interface: `src/api.rs`.
+//! Every decision of a front: which server and rung, when to hold or cut. Interface: `src/module/api.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use crate::api::*;
-use crate::state::*;
+use super::api::*;
+use super::state::*;
 
 // Fullness is what is asked of a link or uplink over what it gives.
 
--- a/src/state.rs
+++ b/src/module/state.rs
@@ -1,8 +1,8 @@
-//! What a front remembers. Bookkeeping only; every decision is in `brain.rs`.
+//! What a front remembers. Bookkeeping only; every decision is in `module/brain.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::api::*;
+use super::api::*;
 
 /// A server that is gone is remembered for so long: longer than any request that was sent there waits.
 const GONE_KEPT: Micros = Micros(30_000_000);
--- /dev/null
+++ b/src/node/http.rs
@@ -0,0 +1,53 @@
+//! The WHIP and WHEP front: what it wishes is done here.
+
+use super::Node;
+use crate::api::*;
+use crate::broker::Input;
+use crate::platform::links::{Command, ConnId};
+use crate::whip::{self, Wish};
+
+impl Node {
+    /// Lets the WHIP front do something, then does what it wishes.
+    pub(super) fn whip(
+        &mut self,
+        now: Micros,
+        out: &mut Vec<Command>,
+        act: impl FnOnce(&mut whip::Front, &dyn Fn(SessionId) -> bool, &mut Vec<Wish>),
+    ) {
+        let mut wishes = Vec::new();
+        if let Some(whip) = &mut self.whip {
+            let (broker, links, pool) = (&self.broker, &self.links, &self.pool);
+            act(whip, &|id| broker.untried(id) || links.waits(id) || pool.waits(id), &mut wishes);
+        }
+        for wish in wishes {
+            match wish {
+                Wish::Tell(Input::Request(request, offer)) => self.ask(now, request, offer, out),
+                Wish::Tell(input) => self.tell(now, input, out),
+                Wish::Write(conn, pieces, tag) => {
+                    out.extend(pieces.into_iter().map(|piece| Command::Write(conn, piece, tag)));
+                }
+                Wish::Close(conn, reason) => out.push(Command::Close(conn, reason)),
+                Wish::Patch { conn, id, any, body } => self.pass_patch(now, conn, id, any, &body, out),
+            }
+        }
+    }
+
+    /// A fragment of trickle ICE goes to the session's server, if that takes any.
+    pub(super) fn pass_patch(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        id: SessionId,
+        any: bool,
+        body: &[u8],
+        out: &mut Vec<Command>,
+    ) {
+        if !self.pool.patch(now, conn, id, any, body, out) {
+            self.whip(now, out, |whip, _, wishes| whip.unpatchable(conn, id, wishes));
+        }
+    }
+
+    pub(super) fn owned_by_whip(&self, id: SessionId) -> bool {
+        self.whip.as_ref().is_some_and(|whip| whip.owns(id))
+    }
+}
--- a/src/node.rs
+++ b/src/node/mod.rs
@@ -1,20 +1,25 @@
 //! One broker without its sockets: carries what the fronts hear to the core and what the core decides to the
 //! fronts. Fed connections and bytes, gives [`Command`]s.
 
+mod http;
+mod servers;
+mod viewers;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
-use crate::broker::{Broker, Description, Effect, Input, SetUp};
+use crate::broker::{Broker, Description, Effect, Input};
 use crate::config::Config;
-use crate::edge::{Pool, Told};
+use crate::edge::Pool;
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
-use crate::platform::links::{Broken, Closed, Command, ConnId, Heard, Links, Server, status};
-use crate::platform::viewer::{self, Said, Viewer};
-use crate::roster::{Names, News};
+use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
+use crate::platform::viewer;
+use crate::roster::Names;
 use crate::trace::{Event as Traced, Tracer};
 use crate::watch::judge::Role;
-use crate::whip::{self, Title, Wish};
+use crate::whip::{self, Title};
+use viewers::ViewerConn;
 
 /// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
 /// once more, and the program and its buffers need the rest.
@@ -45,48 +50,6 @@
     }
 }
 
-/// A viewer's connection that has said nothing whole for so long after it was accepted is closed, and one that
-/// leaves a message unfinished for so long: the platform's clients connect when they have something to ask.
-const SILENT: Micros = Micros(2_000_000);
-/// A connection that no set-up waits on and no session was set up on is closed after so long. Clients let such a
-/// one go after 4 s themselves; one that asked for what has no answer is owed a close within 3 s.
-const IDLE: Micros = Micros(2_250_000);
-
-#[derive(Default)]
-struct ViewerConn {
-    viewer: Viewer,
-    /// Set-ups of this connection that are owed an answer.
-    open: BTreeSet<SessionId>,
-    /// When it last said something whole, or was answered.
-    used: Micros,
-    /// When the message began that is not whole yet.
-    begun: Option<Micros>,
-    /// It has said something whole.
-    spoke: bool,
-    /// It has used the id of a session that is held already: it ends once all it waits for is answered, as an
-    /// answer of its own to the second set-up could be taken for that of the first.
-    repeats: bool,
-    /// It is being closed: what it still says is not heard.
-    closing: bool,
-}
-
-impl ViewerConn {
-    /// Why it is to be closed, if it is.
-    fn overdue(&self, now: Micros) -> Option<&'static str> {
-        if self.closing || !self.open.is_empty() {
-            None
-        } else if !self.spoke && now - self.used >= SILENT {
-            Some(if self.begun.is_some() { "unfinished" } else { "silent" })
-        } else if self.begun.is_some_and(|at| now - at >= SILENT) {
-            Some("unfinished")
-        } else if now - self.used >= IDLE {
-            Some("idle")
-        } else {
-            None
-        }
-    }
-}
-
 /// One broker without its sockets.
 pub struct Node {
     broker: Broker,
@@ -152,14 +115,6 @@
         self.tracer.as_mut().map(Tracer::take).unwrap_or_default()
     }
 
-    /// Tells of the connections to a server that are among fresh commands.
-    fn dialled(&mut self, now: Micros, server: &ServerId, why: &str, fresh: &[Command]) {
-        if let Some(tracer) = &mut self.tracer {
-            let dials = fresh.iter().filter(|c| matches!(c, Command::Dial(..)));
-            dials.for_each(|_| tracer.dial(now, server, why));
-        }
-    }
-
     /// Requests that are owed an answer, and sessions that stand.
     pub fn held(&self) -> (usize, usize) {
         (self.broker.unanswered(), self.broker.standing())
@@ -260,50 +215,6 @@
         }
     }
 
-    /// Lets the WHIP front do something, then does what it wishes.
-    fn whip(
-        &mut self,
-        now: Micros,
-        out: &mut Vec<Command>,
-        act: impl FnOnce(&mut whip::Front, &dyn Fn(SessionId) -> bool, &mut Vec<Wish>),
-    ) {
-        let mut wishes = Vec::new();
-        if let Some(whip) = &mut self.whip {
-            let (broker, links, pool) = (&self.broker, &self.links, &self.pool);
-            act(whip, &|id| broker.untried(id) || links.waits(id) || pool.waits(id), &mut wishes);
-        }
-        for wish in wishes {
-            match wish {
-                Wish::Tell(Input::Request(request, offer)) => self.ask(now, request, offer, out),
-                Wish::Tell(input) => self.tell(now, input, out),
-                Wish::Write(conn, pieces, tag) => {
-                    out.extend(pieces.into_iter().map(|piece| Command::Write(conn, piece, tag)));
-                }
-                Wish::Close(conn, reason) => out.push(Command::Close(conn, reason)),
-                Wish::Patch { conn, id, any, body } => self.pass_patch(now, conn, id, any, &body, out),
-            }
-        }
-    }
-
-    /// A fragment of trickle ICE goes to the session's server, if that takes any.
-    fn pass_patch(
-        &mut self,
-        now: Micros,
-        conn: ConnId,
-        id: SessionId,
-        any: bool,
-        body: &[u8],
-        out: &mut Vec<Command>,
-    ) {
-        if !self.pool.patch(now, conn, id, any, body, out) {
-            self.whip(now, out, |whip, _, wishes| whip.unpatchable(conn, id, wishes));
-        }
-    }
-
-    fn owned_by_whip(&self, id: SessionId) -> bool {
-        self.whip.as_ref().is_some_and(|whip| whip.owns(id))
-    }
-
     /// A request goes to the core, unless the operator's script refuses it.
     fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
         if let Some(tracer) = &mut self.tracer {
@@ -352,82 +263,6 @@
         self.unhook(told);
     }
 
-    /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
-    fn look(&mut self, now: Micros, out: &mut Vec<Command>) {
-        // Those that speak WHIP or WHEP have no connection of their own to be heard on.
-        let spoken = self.servers.keys().filter(|s| !self.pool.serves(s));
-        let busy: Vec<ServerId> = spoken.filter(|s| self.broker.stands_any(s)).cloned().collect();
-        let connected = self.links.connected();
-        for server in self.links.silent(now, busy.iter().cloned()) {
-            self.check(now, &server, out);
-        }
-        for server in busy.into_iter().filter(|s| !connected.contains(s)) {
-            self.check(now, &server, out);
-        }
-    }
-
-    /// Finds out by one more connection whether a server is lost.
-    fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
-        let before = out.len();
-        let there = self.links.check(now, server, out);
-        self.dialled(now, server, "check", &out[before..]);
-        if !there {
-            self.tell(now, Input::Lost(server.clone()), out);
-        }
-    }
-
-    /// News of the list of servers.
-    pub fn news(&mut self, now: Micros, news: News, out: &mut Vec<Command>) {
-        let mut lost = Vec::new();
-        if news.kind == ListKind::Complete {
-            let named: BTreeSet<&ServerId> = news.servers.iter().map(|l| &l.entry.id).collect();
-            lost.extend(self.servers.keys().filter(|id| !named.contains(id)).cloned());
-            for id in &lost {
-                self.servers.remove(id);
-                self.links.forget(id);
-                self.pool.forget(id);
-            }
-        }
-        for listed in &news.servers {
-            let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
-            match &listed.paths {
-                Some(paths) => {
-                    let moved = self.pool.listed(id, listed.address, paths, state, out);
-                    let other = moved || self.links.knows(id);
-                    self.links.forget(id);
-                    lost.extend(other.then(|| id.clone()));
-                }
-                None => {
-                    let other = self.pool.serves(id) && state != ServerState::Gone;
-                    self.pool.forget(id);
-                    lost.extend(other.then(|| id.clone()));
-                    lost.extend(self.links.listed(id, listed.address, state, out));
-                }
-            }
-            // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
-            // reset its connections: they may stay open and silent.
-            let before = self.servers.insert(id.clone(), (state, up));
-            if state == ServerState::Gone {
-                self.servers.remove(id);
-            }
-            if state == ServerState::Gone || before.is_some_and(|(_, before)| up > before) {
-                lost.push(id.clone());
-            }
-        }
-        for server in lost {
-            self.pool.lost(now, &server, false, out);
-            self.tell(now, Input::Lost(server), out);
-        }
-        let servers: Vec<ServerEntry> = news.servers.into_iter().map(|l| l.entry).collect();
-        if let Some(tracer) = &mut self.tracer {
-            tracer.listed(&servers);
-            if news.kind == ListKind::Complete {
-                tracer.only(|id| self.servers.contains_key(id));
-            }
-        }
-        self.tell(now, Input::Servers { kind: news.kind, servers }, out);
-    }
-
     /// A number for a connection.
     pub fn number(&mut self) -> ConnId {
         self.links.number()
@@ -556,111 +391,6 @@
         }
     }
 
-    /// What servers that speak WHIP or WHEP tell.
-    fn told(&mut self, now: Micros, told: Vec<Told>, out: &mut Vec<Command>) {
-        for told in told {
-            match told {
-                Told::Answer(id, server, answer) => self.tell(now, Input::Stands { id, server, answer }, out),
-                Told::Over(id, server, status, load) => {
-                    self.tell(now, Input::Over { id, server, status, load }, out);
-                }
-                Told::Note(id, server, note) => self.tell(now, Input::Note { id, server, note }, out),
-                Told::Refused(server) => {
-                    // One that drains may turn connections down while its sessions play.
-                    let ready = self.servers.get(&server).is_some_and(|(s, _)| *s == ServerState::Ready);
-                    if ready && self.broker.stands_any(&server) {
-                        self.pool.lost(now, &server, true, out);
-                        self.tell(now, Input::Lost(server), out);
-                    }
-                }
-                Told::Patched(conn, id, answer) => {
-                    self.whip(now, out, |whip, _, wishes| whip.patched(conn, id, answer, wishes));
-                    self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
-                }
-                Told::Log(line) => self.log.push(line),
-            }
-        }
-    }
-
-    /// Ends that servers have not heard yet.
-    pub fn ending(&self) -> usize {
-        self.pool.ending()
-    }
-
-    fn said(&mut self, now: Micros, conn: ConnId, said: Said, out: &mut Vec<Command>) {
-        match said {
-            Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, !self.stopping), out),
-            Said::Release(id) => {
-                self.forget(id);
-                if self.broker.knows(id) {
-                    self.tell(now, Input::Left(id), out);
-                }
-            }
-            Said::SetUp(request, description) => {
-                let id = request.id;
-                if self.broker.knows(id) {
-                    return self.taken(now, conn, id, out);
-                }
-                self.homes.insert(id, conn);
-                if let Some(c) = self.viewers.get_mut(&conn) {
-                    c.open.insert(id);
-                }
-                self.ask(now, request, description.into_bytes().into(), out);
-            }
-            Said::Unfit(id) if self.broker.knows(id) => self.taken(now, conn, id, out),
-            Said::Unfit(id) => self.say(now, Some(conn), &viewer::failed(id), out),
-            Said::Playing(request, server) => {
-                self.homes.entry(request.id).or_insert(conn);
-                self.tell(now, Input::Open(request, server.clone()), out);
-                let before = out.len();
-                self.links.attend(now, &server, out);
-                self.dialled(now, &server, "notes", &out[before..]);
-            }
-        }
-    }
-
-    /// A set-up under an id that is in use. The first keeps its single answer; the sender of the second is told by
-    /// a failure, or by a close where a line with that id could mean the first.
-    fn taken(&mut self, now: Micros, conn: ConnId, id: SessionId, out: &mut Vec<Command>) {
-        let own = self.homes.get(&id) == Some(&conn);
-        let Some(c) = self.viewers.get_mut(&conn) else { return };
-        if own || c.open.is_empty() {
-            c.repeats = true;
-            self.close_if_repeats(conn, out);
-        } else {
-            self.say(now, Some(conn), &viewer::failed(id), out);
-        }
-    }
-
-    /// A set-up's final answer.
-    fn reply(&mut self, now: Micros, home: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
-        self.say(now, home, line, out);
-        if let Some(conn) = home {
-            self.close_if_repeats(conn, out);
-        }
-    }
-
-    fn close_if_repeats(&mut self, conn: ConnId, out: &mut Vec<Command>) {
-        if let Some(c) = self.viewers.get_mut(&conn).filter(|c| c.repeats && !c.closing && c.open.is_empty())
-        {
-            c.closing = true;
-            out.push(Command::Close(conn, "id-in-use"));
-        }
-    }
-
-    fn heard(&mut self, now: Micros, server: &ServerId, heard: Heard, out: &mut Vec<Command>) {
-        let server = server.clone();
-        let input = match heard {
-            Heard::Answer(id, answer) => Input::Stands { id, server, answer },
-            Heard::Release(id, cause, load) => {
-                let status = status(cause, self.broker.stands(id, &server));
-                Input::Over { id, server, status, load }
-            }
-            Heard::Note(id, note) => Input::Note { id, server, note },
-        };
-        self.tell(now, input, out);
-    }
-
     fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
         if let Some(tracer) = &mut self.tracer {
             tracer.told(now, &input);
@@ -748,55 +478,4 @@
             Effect::Log(text) => self.log.push(text),
         }
     }
-
-    fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
-        let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
-        if let Some(tracer) = &mut self.tracer {
-            tracer.sent(now, set_up.id, &set_up.server, set_up.rung);
-        }
-        let before = out.len();
-        let sent = if self.pool.serves(&set_up.server) {
-            self.pool.set_up(now, set_up, &class, out)
-        } else {
-            self.links.set_up(now, set_up, &class, out)
-        };
-        self.dialled(now, &set_up.server, "set-up", &out[before..]);
-        if let Err(status) = sent {
-            let (id, server, load) = (set_up.id, set_up.server.clone(), Load::default());
-            self.tell(now, Input::Over { id, server, status, load }, out);
-        }
-    }
-
-    /// The answer to a request goes out on its connection.
-    fn answered(&mut self, now: Micros, id: SessionId) -> Option<ConnId> {
-        let home = self.homes.get(&id).copied();
-        if let Some(c) = home.and_then(|home| self.viewers.get_mut(&home)) {
-            c.open.remove(&id);
-            c.used = now;
-        }
-        home
-    }
-
-    fn forget(&mut self, id: SessionId) {
-        if let Some(home) = self.homes.remove(&id)
-            && let Some(c) = self.viewers.get_mut(&home)
-        {
-            c.open.remove(&id);
-        }
-    }
-
-    fn say(&mut self, _now: Micros, conn: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
-        if let (Some(conn), Ok(bytes)) = (conn.filter(|c| self.viewers.contains_key(c)), line.encode()) {
-            out.push(Command::Write(conn, bytes, None));
-        }
-    }
-
-    /// A session that stands belongs to no connection: its end goes out on its own, on any, or on the next.
-    fn say_anywhere(&mut self, now: Micros, home: Option<ConnId>, line: Line, out: &mut Vec<Command>) {
-        let open = home.filter(|c| self.viewers.contains_key(c));
-        match open.or_else(|| self.viewers.last_key_value().map(|(conn, _)| *conn)) {
-            Some(conn) => self.say(now, Some(conn), &line, out),
-            None => self.owed.push_back((now + OWED_KEPT, line)),
-        }
-    }
 }
--- /dev/null
+++ b/src/node/servers.rs
@@ -0,0 +1,158 @@
+//! Edge servers and media servers: the list of them, their connections, and what they tell.
+
+use std::collections::BTreeSet;
+
+use super::Node;
+use crate::api::*;
+use crate::broker::{Input, SetUp};
+use crate::edge::Told;
+use crate::platform::links::{Command, Heard, status};
+use crate::roster::News;
+
+impl Node {
+    /// Tells of the connections to a server that are among fresh commands.
+    pub(super) fn dialled(&mut self, now: Micros, server: &ServerId, why: &str, fresh: &[Command]) {
+        if let Some(tracer) = &mut self.tracer {
+            let dials = fresh.iter().filter(|c| matches!(c, Command::Dial(..)));
+            dials.for_each(|_| tracer.dial(now, server, why));
+        }
+    }
+
+    /// Servers with sessions must be heard of: one that is silent is tried, and each needs a way for its notes.
+    pub(super) fn look(&mut self, now: Micros, out: &mut Vec<Command>) {
+        // Those that speak WHIP or WHEP have no connection of their own to be heard on.
+        let spoken = self.servers.keys().filter(|s| !self.pool.serves(s));
+        let busy: Vec<ServerId> = spoken.filter(|s| self.broker.stands_any(s)).cloned().collect();
+        let connected = self.links.connected();
+        for server in self.links.silent(now, busy.iter().cloned()) {
+            self.check(now, &server, out);
+        }
+        for server in busy.into_iter().filter(|s| !connected.contains(s)) {
+            self.check(now, &server, out);
+        }
+    }
+
+    /// Finds out by one more connection whether a server is lost.
+    pub(super) fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
+        let before = out.len();
+        let there = self.links.check(now, server, out);
+        self.dialled(now, server, "check", &out[before..]);
+        if !there {
+            self.tell(now, Input::Lost(server.clone()), out);
+        }
+    }
+
+    /// News of the list of servers.
+    pub fn news(&mut self, now: Micros, news: News, out: &mut Vec<Command>) {
+        let mut lost = Vec::new();
+        if news.kind == ListKind::Complete {
+            let named: BTreeSet<&ServerId> = news.servers.iter().map(|l| &l.entry.id).collect();
+            lost.extend(self.servers.keys().filter(|id| !named.contains(id)).cloned());
+            for id in &lost {
+                self.servers.remove(id);
+                self.links.forget(id);
+                self.pool.forget(id);
+            }
+        }
+        for listed in &news.servers {
+            let (id, state, up) = (&listed.entry.id, listed.entry.state, listed.entry.up_since);
+            match &listed.paths {
+                Some(paths) => {
+                    let moved = self.pool.listed(id, listed.address, paths, state, out);
+                    let other = moved || self.links.knows(id);
+                    self.links.forget(id);
+                    lost.extend(other.then(|| id.clone()));
+                }
+                None => {
+                    let other = self.pool.serves(id) && state != ServerState::Gone;
+                    self.pool.forget(id);
+                    lost.extend(other.then(|| id.clone()));
+                    lost.extend(self.links.listed(id, listed.address, state, out));
+                }
+            }
+            // One that is gone, or has started anew, holds nothing of what stood there before. It need not have
+            // reset its connections: they may stay open and silent.
+            let before = self.servers.insert(id.clone(), (state, up));
+            if state == ServerState::Gone {
+                self.servers.remove(id);
+            }
+            if state == ServerState::Gone || before.is_some_and(|(_, before)| up > before) {
+                lost.push(id.clone());
+            }
+        }
+        for server in lost {
+            self.pool.lost(now, &server, false, out);
+            self.tell(now, Input::Lost(server), out);
+        }
+        let servers: Vec<ServerEntry> = news.servers.into_iter().map(|l| l.entry).collect();
+        if let Some(tracer) = &mut self.tracer {
+            tracer.listed(&servers);
+            if news.kind == ListKind::Complete {
+                tracer.only(|id| self.servers.contains_key(id));
+            }
+        }
+        self.tell(now, Input::Servers { kind: news.kind, servers }, out);
+    }
+
+    /// What servers that speak WHIP or WHEP tell.
+    pub(super) fn told(&mut self, now: Micros, told: Vec<Told>, out: &mut Vec<Command>) {
+        for told in told {
+            match told {
+                Told::Answer(id, server, answer) => self.tell(now, Input::Stands { id, server, answer }, out),
+                Told::Over(id, server, status, load) => {
+                    self.tell(now, Input::Over { id, server, status, load }, out);
+                }
+                Told::Note(id, server, note) => self.tell(now, Input::Note { id, server, note }, out),
+                Told::Refused(server) => {
+                    // One that drains may turn connections down while its sessions play.
+                    let ready = self.servers.get(&server).is_some_and(|(s, _)| *s == ServerState::Ready);
+                    if ready && self.broker.stands_any(&server) {
+                        self.pool.lost(now, &server, true, out);
+                        self.tell(now, Input::Lost(server), out);
+                    }
+                }
+                Told::Patched(conn, id, answer) => {
+                    self.whip(now, out, |whip, _, wishes| whip.patched(conn, id, answer, wishes));
+                    self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
+                }
+                Told::Log(line) => self.log.push(line),
+            }
+        }
+    }
+
+    /// Ends that servers have not heard yet.
+    pub fn ending(&self) -> usize {
+        self.pool.ending()
+    }
+
+    pub(super) fn heard(&mut self, now: Micros, server: &ServerId, heard: Heard, out: &mut Vec<Command>) {
+        let server = server.clone();
+        let input = match heard {
+            Heard::Answer(id, answer) => Input::Stands { id, server, answer },
+            Heard::Release(id, cause, load) => {
+                let status = status(cause, self.broker.stands(id, &server));
+                Input::Over { id, server, status, load }
+            }
+            Heard::Note(id, note) => Input::Note { id, server, note },
+        };
+        self.tell(now, input, out);
+    }
+
+    pub(super) fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
+        let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
+        if let Some(tracer) = &mut self.tracer {
+            tracer.sent(now, set_up.id, &set_up.server, set_up.rung);
+        }
+        let before = out.len();
+        let sent = if self.pool.serves(&set_up.server) {
+            self.pool.set_up(now, set_up, &class, out)
+        } else {
+            self.links.set_up(now, set_up, &class, out)
+        };
+        self.dialled(now, &set_up.server, "set-up", &out[before..]);
+        if let Err(status) = sent {
+            let (id, server, load) = (set_up.id, set_up.server.clone(), Load::default());
+            self.tell(now, Input::Over { id, server, status, load }, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/viewers.rs
@@ -0,0 +1,153 @@
+//! The platform's viewers: their connections, what they say, and the lines that go back to them.
+
+use std::collections::BTreeSet;
+
+use super::{Node, OWED_KEPT};
+use crate::api::*;
+use crate::broker::Input;
+use crate::message::line::Line;
+use crate::platform::links::{Command, ConnId};
+use crate::platform::viewer::{self, Said, Viewer};
+
+/// A viewer's connection that has said nothing whole for so long after it was accepted is closed, and one that
+/// leaves a message unfinished for so long: the platform's clients connect when they have something to ask.
+const SILENT: Micros = Micros(2_000_000);
+/// A connection that no set-up waits on and no session was set up on is closed after so long. Clients let such a
+/// one go after 4 s themselves; one that asked for what has no answer is owed a close within 3 s.
+const IDLE: Micros = Micros(2_250_000);
+
+#[derive(Default)]
+pub(super) struct ViewerConn {
+    pub(super) viewer: Viewer,
+    /// Set-ups of this connection that are owed an answer.
+    pub(super) open: BTreeSet<SessionId>,
+    /// When it last said something whole, or was answered.
+    pub(super) used: Micros,
+    /// When the message began that is not whole yet.
+    pub(super) begun: Option<Micros>,
+    /// It has said something whole.
+    pub(super) spoke: bool,
+    /// It has used the id of a session that is held already: it ends once all it waits for is answered, as an
+    /// answer of its own to the second set-up could be taken for that of the first.
+    pub(super) repeats: bool,
+    /// It is being closed: what it still says is not heard.
+    pub(super) closing: bool,
+}
+
+impl ViewerConn {
+    /// Why it is to be closed, if it is.
+    pub(super) fn overdue(&self, now: Micros) -> Option<&'static str> {
+        if self.closing || !self.open.is_empty() {
+            None
+        } else if !self.spoke && now - self.used >= SILENT {
+            Some(if self.begun.is_some() { "unfinished" } else { "silent" })
+        } else if self.begun.is_some_and(|at| now - at >= SILENT) {
+            Some("unfinished")
+        } else if now - self.used >= IDLE {
+            Some("idle")
+        } else {
+            None
+        }
+    }
+}
+impl Node {
+    pub(super) fn said(&mut self, now: Micros, conn: ConnId, said: Said, out: &mut Vec<Command>) {
+        match said {
+            Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, !self.stopping), out),
+            Said::Release(id) => {
+                self.forget(id);
+                if self.broker.knows(id) {
+                    self.tell(now, Input::Left(id), out);
+                }
+            }
+            Said::SetUp(request, description) => {
+                let id = request.id;
+                if self.broker.knows(id) {
+                    return self.taken(now, conn, id, out);
+                }
+                self.homes.insert(id, conn);
+                if let Some(c) = self.viewers.get_mut(&conn) {
+                    c.open.insert(id);
+                }
+                self.ask(now, request, description.into_bytes().into(), out);
+            }
+            Said::Unfit(id) if self.broker.knows(id) => self.taken(now, conn, id, out),
+            Said::Unfit(id) => self.say(now, Some(conn), &viewer::failed(id), out),
+            Said::Playing(request, server) => {
+                self.homes.entry(request.id).or_insert(conn);
+                self.tell(now, Input::Open(request, server.clone()), out);
+                let before = out.len();
+                self.links.attend(now, &server, out);
+                self.dialled(now, &server, "notes", &out[before..]);
+            }
+        }
+    }
+
+    /// A set-up under an id that is in use. The first keeps its single answer; the sender of the second is told by
+    /// a failure, or by a close where a line with that id could mean the first.
+    pub(super) fn taken(&mut self, now: Micros, conn: ConnId, id: SessionId, out: &mut Vec<Command>) {
+        let own = self.homes.get(&id) == Some(&conn);
+        let Some(c) = self.viewers.get_mut(&conn) else { return };
+        if own || c.open.is_empty() {
+            c.repeats = true;
+            self.close_if_repeats(conn, out);
+        } else {
+            self.say(now, Some(conn), &viewer::failed(id), out);
+        }
+    }
+
+    /// A set-up's final answer.
+    pub(super) fn reply(&mut self, now: Micros, home: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
+        self.say(now, home, line, out);
+        if let Some(conn) = home {
+            self.close_if_repeats(conn, out);
+        }
+    }
+
+    pub(super) fn close_if_repeats(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        if let Some(c) = self.viewers.get_mut(&conn).filter(|c| c.repeats && !c.closing && c.open.is_empty())
+        {
+            c.closing = true;
+            out.push(Command::Close(conn, "id-in-use"));
+        }
+    }
+
+    /// The answer to a request goes out on its connection.
+    pub(super) fn answered(&mut self, now: Micros, id: SessionId) -> Option<ConnId> {
+        let home = self.homes.get(&id).copied();
+        if let Some(c) = home.and_then(|home| self.viewers.get_mut(&home)) {
+            c.open.remove(&id);
+            c.used = now;
+        }
+        home
+    }
+
+    pub(super) fn forget(&mut self, id: SessionId) {
+        if let Some(home) = self.homes.remove(&id)
+            && let Some(c) = self.viewers.get_mut(&home)
+        {
+            c.open.remove(&id);
+        }
+    }
+
+    pub(super) fn say(&mut self, _now: Micros, conn: Option<ConnId>, line: &Line, out: &mut Vec<Command>) {
+        if let (Some(conn), Ok(bytes)) = (conn.filter(|c| self.viewers.contains_key(c)), line.encode()) {
+            out.push(Command::Write(conn, bytes, None));
+        }
+    }
+
+    /// A session that stands belongs to no connection: its end goes out on its own, on any, or on the next.
+    pub(super) fn say_anywhere(
+        &mut self,
+        now: Micros,
+        home: Option<ConnId>,
+        line: Line,
+        out: &mut Vec<Command>,
+    ) {
+        let open = home.filter(|c| self.viewers.contains_key(c));
+        match open.or_else(|| self.viewers.last_key_value().map(|(conn, _)| *conn)) {
+            Some(conn) => self.say(now, Some(conn), &line, out),
+            None => self.owed.push_back((now + OWED_KEPT, line)),
+        }
+    }
+}
