A quorum of brokers: agreed log on disk, fenced leases, and the fleet's record by one holder

Need: each broker stood alone, so nothing could be done by one hand for all of them. Duties that one process holds at a time need agreement that survives stops, cuts and restarts.

Change: [quorum] in the operator's file, off unless it is there. The command line moves to a module of the library and gains quorum show, hand-on and record. The node counts refusals and attempts.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,9 +9,10 @@
 use crate::api::{Micros, Settings};
 use crate::eureka;
 use crate::hook::Hook;
+use crate::quorum;
 use crate::records::{
-    Bounds, EurekaRecord, Finding, Findings, HookRecord, OperatorFile, Source, TitleRecord, WatchRecord,
-    WhipRecord,
+    Bounds, EurekaRecord, Finding, Findings, HookRecord, OperatorFile, QuorumRecord, Source, TitleRecord,
+    WatchRecord, WhipRecord,
 };
 use crate::roster::{Listed, Names, Plausible};
 use crate::watch;
@@ -60,6 +61,8 @@
     pub whip: Option<Whip>,
     /// The registry, if there is one.
     pub eureka: Option<eureka::Setup>,
+    /// The quorum, if this process is part of one.
+    pub quorum: Option<quorum::Setup>,
     /// The script, if there is one, and the operations it may do in a call.
     pub hook: Option<(String, u64)>,
 }
@@ -193,6 +196,33 @@
     })
 }
 
+/// What the file says of the quorum; paths start from its folder.
+fn read_quorum(record: &QuorumRecord, name: &str, base: &Path) -> quorum::Setup {
+    let lease = record.lease_ms.unwrap_or(2_000);
+    let name = quorum::Name(name.to_owned());
+    let voter = |v: &crate::records::VoterRecord| quorum::Voter {
+        name: quorum::Name(v.name.clone()),
+        address: v.address.0,
+    };
+    let voters: Vec<quorum::Voter> = record.voter.iter().map(voter).collect();
+    let own = voters.iter().find(|v| v.name == name).map(|v| v.address);
+    quorum::Setup {
+        cluster: record.cluster.clone(),
+        listen: own.map(|own| record.listen.map_or(own, |a| a.0)),
+        folder: record.folder.as_ref().map(|dir| base.join(dir)),
+        lease: ms(Some(lease), lease),
+        beat: ms(record.beat_ms, (lease / 5).max(20)),
+        election: ms(record.election_ms, 150),
+        drift: record.drift.unwrap_or(0.01),
+        stuck: ms(record.stuck_ms, lease * 10),
+        gone: ms(record.gone_ms, lease * 3),
+        duties: record.duty.iter().map(|d| (quorum::Duty(d.name.clone()), d.weight.unwrap_or(1))).collect(),
+        record: record.record.as_ref().map(|dir| base.join(dir)),
+        name,
+        voters,
+    }
+}
+
 /// Operations that one call of a script may do.
 const OPERATIONS: u64 = 100_000;
 
@@ -208,6 +238,7 @@
             ("whip.listen", listen(self) != listen(new)),
             ("eureka", self.eureka != new.eureka),
             ("watch", self.watch != new.watch),
+            ("quorum", self.quorum != new.quorum),
         ]
         .into_iter()
         .filter_map(|(field, differs)| differs.then_some(field))
@@ -261,6 +292,7 @@
         config.eureka = eureka.map_err(placed)?;
         let watch = file.watch.as_ref().map(|record| watched(record, file.hook.as_ref(), base)).transpose();
         config.watch = watch.map_err(placed)?;
+        config.quorum = file.quorum.as_ref().map(|record| read_quorum(record, &config.name, base));
         if let (Some(hook), None) = (&file.hook, &config.watch) {
             let refused = |e: String| placed(Finding::setting("hook.script", e).into());
             let script = std::fs::read_to_string(base.join(&hook.script))
@@ -344,6 +376,7 @@
             whip: None,
             eureka: None,
             hook: None,
+            quorum: None,
         })
     }
 }
--- a/src/disk.rs
+++ b/src/disk.rs
@@ -9,6 +9,7 @@
 use rustix::fs::OFlags;
 use rustix::io::Errno;
 
+use crate::faults;
 use crate::watch::judge::Unread;
 use crate::watch::state::Disk;
 use crate::watch::{Read, Stamp};
@@ -169,6 +170,104 @@
     }
 }
 
+/// A file that only grows, in a folder that one process holds. What was added counts once it is synced.
+#[derive(Debug)]
+pub struct Journal {
+    folder: PathBuf,
+    file: File,
+    /// Held for as long as the journal is open.
+    _lock: File,
+    /// Bytes that a trial loses with the process unless they are synced.
+    unsynced: Vec<u8>,
+}
+
+/// The journal's name in its folder.
+const JOURNAL: &str = "journal";
+
+impl Journal {
+    /// Opens a folder's journal, which is made if it is not there, and reads it.
+    pub fn open(folder: &Path) -> io::Result<(Journal, Vec<u8>)> {
+        fs::create_dir_all(folder)?;
+        let lock = OpenOptions::new().create(true).append(true).open(folder.join("lock"))?;
+        rustix::fs::flock(&lock, rustix::fs::FlockOperation::NonBlockingLockExclusive)
+            .map_err(|_| io::Error::new(io::ErrorKind::ResourceBusy, "another process has this folder"))?;
+        let path = folder.join(JOURNAL);
+        let fresh = !path.exists();
+        let mut file = OpenOptions::new().create(true).read(true).append(true).open(&path)?;
+        if fresh {
+            File::open(folder)?.sync_all()?;
+        }
+        let mut bytes = Vec::new();
+        file.read_to_end(&mut bytes)?;
+        Ok((Journal { folder: folder.to_owned(), file, _lock: lock, unsynced: Vec::new() }, bytes))
+    }
+
+    /// Cuts a torn tail off.
+    pub fn cut(&mut self, good: u64) -> io::Result<()> {
+        self.file.set_len(good)?;
+        self.file.sync_all()
+    }
+
+    /// Adds bytes.
+    pub fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if faults::there("disk-full") {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        if faults::there("lose-unsynced") {
+            self.unsynced.extend_from_slice(bytes);
+            return Ok(());
+        }
+        self.file.write_all(bytes)
+    }
+
+    /// Waits until what was added would survive a crash. After an error nobody can say what would.
+    pub fn sync(&mut self) -> io::Result<()> {
+        if let Some(ms) = faults::figure("sync-ms") {
+            std::thread::sleep(std::time::Duration::from_millis(ms as u64));
+        }
+        if faults::there("sync-fails") {
+            return Err(io::Error::other("sync failed"));
+        }
+        if !self.unsynced.is_empty() {
+            self.file.write_all(&std::mem::take(&mut self.unsynced))?;
+        }
+        self.file.sync_data()
+    }
+
+    /// Puts a new content in place of all, at once.
+    pub fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if faults::there("disk-full") {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.unsynced.clear();
+        let new = self.folder.join("journal.new");
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&new, self.folder.join(JOURNAL))?;
+        File::open(&self.folder)?.sync_all()?;
+        self.file = OpenOptions::new().append(true).open(self.folder.join(JOURNAL))?;
+        Ok(())
+    }
+}
+
+/// Lengths of the files in a folder, by name.
+pub fn lengths(folder: &Path) -> io::Result<Vec<(String, u64)>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        found.push((entry.file_name().to_string_lossy().into_owned(), entry.metadata()?.len()));
+    }
+    Ok(found)
+}
+
+/// Makes a file that must not be there yet, with its first bytes.
+pub fn create_new(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    let mut file = OpenOptions::new().create_new(true).append(true).open(path)?;
+    file.write_all(bytes)?;
+    Ok(file)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -220,6 +319,25 @@
         assert_eq!(unread(&io::ErrorKind::PermissionDenied.into()), Unread::Denied);
     }
 
+    #[test]
+    fn a_journal_has_one_owner_and_a_replaced_one_is_added_to() {
+        let dir = Scratch::new("journal");
+        let (mut journal, read) = Journal::open(&dir.0).unwrap();
+        assert!(read.is_empty());
+        assert!(Journal::open(&dir.0).is_err(), "another has it");
+        journal.append(b"one").unwrap();
+        journal.sync().unwrap();
+        journal.replace(b"new").unwrap();
+        journal.append(b"two+torn").unwrap();
+        drop(journal);
+        let (mut journal, read) = Journal::open(&dir.0).unwrap();
+        assert_eq!(read, b"newtwo+torn");
+        journal.cut(6).unwrap();
+        journal.append(b"!").unwrap();
+        drop(journal);
+        assert_eq!(Journal::open(&dir.0).unwrap().1, b"newtwo!");
+    }
+
     /// A FIFO that takes the file's place after it was looked at must not hold the reader up.
     #[test]
     fn an_open_fifo_is_turned_away_unread() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,10 +29,12 @@
 
 pub mod board;
 pub mod broker;
+pub mod cli;
 pub mod config;
 pub mod disk;
 pub mod edge;
 pub mod eureka;
+pub mod faults;
 pub mod hook;
 pub mod http;
 pub mod log;
@@ -41,6 +43,7 @@
 pub mod net;
 pub mod node;
 pub mod platform;
+pub mod quorum;
 pub mod records;
 pub mod roster;
 pub mod trace;
--- a/src/module/api.rs
+++ b/src/module/api.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 /// A point in time or a span, in whole microseconds. The clock starts anywhere and only grows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct Micros(pub u64);
 
 impl Micros {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod files;
 mod outbox;
+pub mod quorum;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use crate::node::{Front, Node};
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::platform::longest_deadline;
+use crate::quorum::Incarnation;
 use crate::records::Findings;
 use crate::roster::{News, Plausible, Roster, Source};
 use outbox::{Bell, Outbox};
@@ -46,11 +48,13 @@
 const PARTING: Duration = Duration::from_millis(500);
 /// Time between looks for a connection that can be let go, while descriptors are short.
 const ROOM: Duration = Duration::from_millis(50);
+/// Time between counts that the quorum is told.
+const COUNTED: Duration = Duration::from_millis(250);
 /// What one connection may bring in one turn, before the others have theirs.
 const TURN: usize = 16 * 1024;
 
 struct Shared {
-    executor: LocalExecutor<'static>,
+    executor: Rc<LocalExecutor<'static>>,
     node: RefCell<Node>,
     boxes: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
     clock: Clock,
@@ -85,7 +89,7 @@
         let never = Plausible { most_dropped: 1.0, hold: Micros(0) };
         let plausible = config.watch.as_ref().map_or(never, |w| w.plausible);
         Rc::new(Shared {
-            executor: LocalExecutor::new(),
+            executor: Rc::new(LocalExecutor::new()),
             node: RefCell::new(Node::new(config)),
             boxes: RefCell::new(BTreeMap::new()),
             clock: Clock::default(),
@@ -440,6 +444,7 @@
     mut config: Config,
     reread: impl Fn() -> Result<Config, Findings>,
     files: Option<Rc<RefCell<files::Files>>>,
+    quorum: Option<Rc<quorum::Quorum>>,
     stop: Rc<Bell>,
 ) {
     while let Some(signal) = signals.next().await {
@@ -452,6 +457,8 @@
                 // Tests fail from the moment that the log tells of it.
                 shared.node.borrow_mut().stop();
                 info!(event = "stopping", signal = ?other);
+                // Duties go to others at once, before anything else is waited for.
+                quorum.iter().for_each(|quorum| quorum.drain());
                 stop.ring();
             }
         }
@@ -513,6 +520,15 @@
     }
 }
 
+/// Tells the quorum what the node counts.
+async fn count(shared: Handle, quorum: Rc<quorum::Quorum>) {
+    loop {
+        let counts = shared.node.borrow().counts();
+        quorum.count(counts);
+        Timer::after(COUNTED).await;
+    }
+}
+
 /// Serves until it is told to stop. `trace` lines a second at most tell of requests in the log; `reread` gives the
 /// configuration anew when that is asked for.
 pub fn run(
@@ -559,7 +575,13 @@
     });
     shared.executor.spawn(keep_time(shared.clone())).detach();
     let stopping = Rc::new(Bell::default());
-    let signals = signals(shared.clone(), heard, config.clone(), reread, watched, stopping.clone());
+    let incarnation = Incarnation(unix().0);
+    let setup = config.quorum.as_ref();
+    let quorum = setup.map(|setup| quorum::start(&shared.executor, setup, incarnation)).transpose()?;
+    if let Some(quorum) = &quorum {
+        shared.executor.spawn(count(shared.clone(), quorum.clone())).detach();
+    }
+    let signals = signals(shared.clone(), heard, config.clone(), reread, watched, quorum, stopping.clone());
     shared.executor.spawn(signals).detach();
     let stop = async {
         stopping.heard().await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::message::line::Line;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::platform::viewer;
+use crate::quorum::frame::Counts;
 use crate::roster::Names;
 use crate::trace::{Event as Traced, Tracer};
 use crate::watch::judge::Role;
@@ -70,6 +71,9 @@
     look_at: Micros,
     stopping: bool,
     log: Vec<String>,
+    /// Requests refused and attempts sent since the start.
+    refusals: u64,
+    attempts: u64,
     /// What is told of each request, where that is asked for.
     tracer: Option<Tracer>,
 }
@@ -101,6 +105,8 @@
             look_at: Micros(0),
             stopping: false,
             log: Vec::new(),
+            refusals: 0,
+            attempts: 0,
             tracer: None,
         }
     }
@@ -120,6 +126,12 @@
         (self.broker.unanswered(), self.broker.standing())
     }
 
+    /// What the fleet's record tells of this broker.
+    pub fn counts(&self) -> Counts {
+        let sessions = self.broker.standing() as u64;
+        Counts { sessions, refusals: self.refusals, attempts: self.attempts }
+    }
+
     /// Takes in what a new configuration says of the front and the script; what waits or plays is untouched.
     /// Titles and a script that are watched stay as their files have them.
     pub fn reload(&mut self, config: &Config) {
@@ -407,6 +419,11 @@
         if let Some(tracer) = &mut self.tracer {
             tracer.decided(now, &effect);
         }
+        match &effect {
+            Effect::Refused(..) => self.refusals += 1,
+            Effect::SetUp(_) => self.attempts += 1,
+            _ => {}
+        }
         match effect {
             Effect::Plays(id, answer) if self.owned_by_whip(id) => {
                 let ice = self.pool.ice(id).to_vec();
--- /dev/null
+++ b/src/quorum/holder.rs
@@ -0,0 +1,244 @@
+//! The holder's side of leases. The right to act is a [`Permit`], asked for at the instant of acting: it knows the
+//! moment at which it ends, and is looked at again after every wait.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::frame::Told;
+use super::mutant::{self, Mutant};
+use super::{Boot, Duty, Epoch, Setup};
+
+/// Beats whose moment of sending is remembered; an answer to an older one is of no use.
+const SENT: usize = 64;
+
+/// The right to act for a duty until a moment. It can't be copied: whoever waits asks anew, or looks again.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Permit {
+    epoch: Epoch,
+    until: Boot,
+}
+
+impl Permit {
+    /// The epoch that each effect carries, if the permit is still good at this moment.
+    pub fn epoch(&self, now: Boot) -> Option<Epoch> {
+        (now < self.until).then_some(self.epoch)
+    }
+
+    /// The same for the look that follows a wait.
+    pub fn still(&self, now: Boot) -> Option<Epoch> {
+        let kept = mutant::on(Mutant::NoSecondLook) || mutant::on(Mutant::KeptPermit);
+        if kept { Some(self.epoch) } else { self.epoch(now) }
+    }
+}
+
+/// A lease as its holder counts it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Held {
+    epoch: Epoch,
+    until: Boot,
+}
+
+/// How a lease was lost or came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// This process holds a duty from now on.
+    Took(Duty, Epoch),
+    /// Its time ran out with no answer.
+    RanOut(Duty, Epoch),
+    /// The leader no longer counts this process as the holder.
+    Taken(Duty, Epoch),
+}
+
+/// The leases of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Holder {
+    held: BTreeMap<Duty, Held>,
+    sent: VecDeque<(u64, Boot)>,
+    heard: u64,
+    given: BTreeMap<Duty, Epoch>,
+}
+
+impl Holder {
+    /// A beat leaves.
+    pub fn sent(&mut self, seq: u64, now: Boot) {
+        self.sent.push_back((seq, now));
+        if self.sent.len() > SENT {
+            self.sent.pop_front();
+        }
+    }
+
+    /// A beat was answered.
+    pub fn told(&mut self, now: Boot, told: &Told, setup: &Setup) -> Vec<News> {
+        let mut news = self.expire(now);
+        let sent = self.sent.iter().find(|(seq, _)| *seq == told.seq).map(|(_, at)| *at);
+        let Some(sent) = sent.filter(|_| told.seq > self.heard) else { return news };
+        self.heard = told.seq;
+        for (duty, epoch, length) in &told.holds {
+            // What was given back is not taken up again, whoever has not heard of it yet.
+            if self.given.get(duty).is_some_and(|given| given >= epoch) {
+                continue;
+            }
+            let from = if mutant::on(Mutant::FromReceipt) { now } else { sent };
+            let until = from.after(*length - setup.drift_of(*length));
+            let held = self.held.get(duty);
+            if until <= now || held.is_some_and(|held| held.epoch > *epoch) {
+                continue;
+            }
+            if held.is_none_or(|held| held.epoch < *epoch) {
+                news.push(News::Took(duty.clone(), *epoch));
+                self.held.insert(duty.clone(), Held { epoch: *epoch, until });
+            } else if let Some(held) = self.held.get_mut(duty) {
+                held.until = held.until.max(until);
+            }
+        }
+        let listed =
+            |duty: &Duty, held: &Held| told.holds.iter().any(|(d, e, _)| d == duty && *e >= held.epoch);
+        let taken: Vec<(Duty, Epoch)> = self
+            .held
+            .iter()
+            .filter(|(duty, held)| !listed(duty, held))
+            .map(|(duty, held)| (duty.clone(), held.epoch))
+            .collect();
+        for (duty, epoch) in taken {
+            self.held.remove(&duty);
+            news.push(News::Taken(duty, epoch));
+        }
+        news
+    }
+
+    /// Leases whose time is over are held no longer.
+    pub fn expire(&mut self, now: Boot) -> Vec<News> {
+        if mutant::on(Mutant::KeptPermit) {
+            return Vec::new();
+        }
+        let over: Vec<(Duty, Epoch)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.until <= now)
+            .map(|(duty, held)| (duty.clone(), held.epoch))
+            .collect();
+        let gone = over.into_iter().map(|(duty, epoch)| {
+            self.held.remove(&duty);
+            News::RanOut(duty, epoch)
+        });
+        gone.collect()
+    }
+
+    /// The right to act for a duty at this moment.
+    pub fn permit(&self, duty: &Duty, now: Boot) -> Option<Permit> {
+        let held = self.held.get(duty)?;
+        let permit = Permit { epoch: held.epoch, until: held.until };
+        (mutant::on(Mutant::KeptPermit) || permit.epoch(now).is_some()).then_some(permit)
+    }
+
+    /// Gives a duty back: from now on this process does not act for it.
+    pub fn give(&mut self, duty: &Duty) -> Option<Epoch> {
+        let held = self.held.remove(duty)?;
+        self.given.insert(duty.clone(), held.epoch);
+        Some(held.epoch)
+    }
+
+    /// What was given back, for beats: until the log knows, each tells of it again.
+    pub fn given(&self) -> Vec<(Duty, Epoch)> {
+        self.given.iter().map(|(duty, epoch)| (duty.clone(), *epoch)).collect()
+    }
+
+    /// Duties that are held, as last counted.
+    pub fn holds(&self) -> impl Iterator<Item = (&Duty, Epoch)> {
+        self.held.iter().map(|(duty, held)| (duty, held.epoch))
+    }
+
+    /// When the next lease runs out.
+    pub fn next(&self) -> Option<Boot> {
+        self.held.values().map(|held| held.until).min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::Micros;
+    use crate::quorum::{Name, Process, Reign};
+
+    fn setup() -> Setup {
+        Setup {
+            cluster: "c".into(),
+            name: Name("a".into()),
+            listen: None,
+            folder: None,
+            voters: Vec::new(),
+            lease: Micros(1000),
+            beat: Micros(200),
+            election: Micros(200),
+            drift: 0.1,
+            stuck: Micros(9000),
+            gone: Micros(3000),
+            duties: Vec::new(),
+            record: None,
+        }
+    }
+
+    fn told(seq: u64, holds: &[(&str, u64)]) -> Told {
+        let holds = holds.iter().map(|(d, e)| (Duty((*d).into()), Epoch(*e), Micros(1000))).collect();
+        let process = Process::default();
+        Told {
+            process,
+            seq,
+            reign: Reign(1),
+            leader: None,
+            holds,
+            back: vec![],
+            view: None,
+            fleet: None,
+            twin: false,
+        }
+    }
+
+    #[test]
+    fn a_lease_counts_from_the_sending_of_the_beat_less_the_part_for_drift() {
+        let (mut holder, idle) = (Holder::default(), Duty("idle".into()));
+        holder.sent(1, Boot(5000));
+        assert_eq!(
+            holder.told(Boot(5800), &told(1, &[("idle", 4)]), &setup()),
+            [News::Took(idle.clone(), Epoch(4))]
+        );
+        let permit = holder.permit(&idle, Boot(5899)).unwrap();
+        assert_eq!(permit.epoch(Boot(5899)), Some(Epoch(4)));
+        assert_eq!(permit.still(Boot(5900)), None, "looked at again after a wait");
+        assert_eq!(holder.permit(&idle, Boot(5900)), None);
+        // An answer that comes after the end of what it would give gives nothing.
+        holder.sent(2, Boot(5900));
+        assert_eq!(
+            holder.told(Boot(6800), &told(2, &[("idle", 4)]), &setup()),
+            [News::RanOut(idle, Epoch(4))]
+        );
+    }
+
+    #[test]
+    fn old_answers_and_other_epochs_change_nothing() {
+        let (mut holder, idle) = (Holder::default(), Duty("idle".into()));
+        for seq in 1..=3 {
+            holder.sent(seq, Boot(100 * seq));
+        }
+        holder.told(Boot(310), &told(2, &[("idle", 7)]), &setup());
+        assert!(holder.told(Boot(320), &told(1, &[]), &setup()).is_empty(), "an answer from before");
+        assert!(holder.permit(&idle, Boot(330)).is_some());
+        assert_eq!(holder.told(Boot(340), &told(3, &[]), &setup()), [News::Taken(idle.clone(), Epoch(7))]);
+        holder.sent(4, Boot(400));
+        assert!(holder.told(Boot(410), &told(9, &[("idle", 8)]), &setup()).is_empty(), "no beat of ours");
+    }
+
+    #[test]
+    fn what_was_given_back_is_not_taken_up_again() {
+        let (mut holder, idle) = (Holder::default(), Duty("idle".into()));
+        holder.sent(1, Boot(100));
+        holder.sent(2, Boot(200));
+        holder.sent(3, Boot(300));
+        holder.told(Boot(110), &told(1, &[("idle", 7)]), &setup());
+        assert_eq!(holder.give(&idle), Some(Epoch(7)));
+        holder.told(Boot(210), &told(2, &[("idle", 7)]), &setup());
+        assert_eq!(holder.permit(&idle, Boot(220)), None);
+        assert_eq!(holder.given(), [(idle.clone(), Epoch(7))]);
+        holder.told(Boot(310), &told(3, &[("idle", 9)]), &setup());
+        assert_eq!(holder.permit(&idle, Boot(320)).unwrap().epoch(Boot(320)), Some(Epoch(9)));
+    }
+}
--- /dev/null
+++ b/src/quorum/mutant.rs
@@ -0,0 +1,79 @@
+//! Wrong ways of doing things, for trials that must find them. Without the feature `trials` there are none.
+
+/// One way of being wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    /// Neither side sets a part aside for drift.
+    NoDrift,
+    /// The holder counts from the receipt of the answer.
+    FromReceipt,
+    /// The holder does not look at its lease again after a wait.
+    NoSecondLook,
+    /// A voter tells of its vote before that is on disk.
+    NotSynced,
+    /// A new leader calls leases expired at once.
+    NoWait,
+    /// Epochs begin anew with each reign.
+    EpochsReused,
+    /// A permit is kept and used again.
+    KeptPermit,
+    /// Runs of one name are taken for the same.
+    Twins,
+    /// A leader answers without asking a majority whether it still leads.
+    NoConfirm,
+    /// A voter that lost its folder votes again under its old name.
+    ForgottenVote,
+    /// What a deposed leader proposed counts.
+    StaleReign,
+    /// A spoilt middle of the log is skipped.
+    SkipSpoilt,
+}
+
+impl Mutant {
+    /// All of them, with the names they go by.
+    pub const ALL: [(&'static str, Mutant); 12] = [
+        ("no-drift", Mutant::NoDrift),
+        ("from-receipt", Mutant::FromReceipt),
+        ("no-second-look", Mutant::NoSecondLook),
+        ("not-synced", Mutant::NotSynced),
+        ("no-wait", Mutant::NoWait),
+        ("epochs-reused", Mutant::EpochsReused),
+        ("kept-permit", Mutant::KeptPermit),
+        ("twins", Mutant::Twins),
+        ("no-confirm", Mutant::NoConfirm),
+        ("forgotten-vote", Mutant::ForgottenVote),
+        ("stale-reign", Mutant::StaleReign),
+        ("skip-spoilt", Mutant::SkipSpoilt),
+    ];
+}
+
+#[cfg(feature = "trials")]
+thread_local! {
+    static CHOSEN: std::cell::Cell<Option<Mutant>> = const { std::cell::Cell::new(None) };
+}
+
+/// Is wrong in one way from now on, on this thread.
+#[cfg(feature = "trials")]
+pub fn choose(mutant: Option<Mutant>) {
+    CHOSEN.set(mutant);
+}
+
+/// The one that the environment names.
+#[cfg(feature = "trials")]
+pub fn of_environment() -> Option<Mutant> {
+    let name = std::env::var("AMBERSPINDLE_MUTANT").ok()?;
+    Mutant::ALL.iter().find(|(known, _)| *known == name).map(|(_, mutant)| *mutant)
+}
+
+/// Whether things are to be done wrong in this way.
+#[cfg(feature = "trials")]
+pub fn on(mutant: Mutant) -> bool {
+    CHOSEN.get() == Some(mutant)
+}
+
+/// Whether things are to be done wrong in this way: never.
+#[cfg(not(feature = "trials"))]
+#[inline(always)]
+pub fn on(_: Mutant) -> bool {
+    false
+}
--- a/src/records/mod.rs
+++ b/src/records/mod.rs
@@ -8,7 +8,8 @@
 
 pub use lists::{Bounds, ServerRecord, ServerState, ServersFile, TitleRecord, TitlesFile, WeightsFile};
 pub use operator::{
-    EurekaRecord, HookRecord, IceRecord, LimitsRecord, OperatorFile, PlatformRecord, WatchRecord, WhipRecord,
+    DutyRecord, EurekaRecord, HookRecord, IceRecord, LimitsRecord, OperatorFile, PlatformRecord,
+    QuorumRecord, VoterRecord, WatchRecord, WhipRecord,
 };
 pub use settings::SettingsRecord;
 pub use source::Source;
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::lists::{Wrong, reported, servers_agree, titles_agree};
+use crate::quorum;
+
 use super::{Address, Bounds, Findings, ServerRecord, SettingsRecord, Source, TitleRecord};
 
 /// Fewest descriptors that the program can do with.
@@ -61,6 +63,10 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hook: Option<HookRecord>,
+    /// Processes that agree on who holds which duty; left out: this one stands alone.
+    #[garde(dive(&()))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quorum: Option<QuorumRecord>,
     /// What the module is told, in the words of the simulator's wire.
     #[garde(skip)]
     pub settings: SettingsRecord,
@@ -260,6 +266,148 @@
     pub most_kb: Option<u64>,
 }
 
+/// `[quorum]`. Paths start from the folder of the operator's file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct QuorumRecord {
+    /// The cluster's name; processes of others are turned away.
+    #[garde(custom(word))]
+    pub cluster: String,
+    /// Where a voter listens; left out: at its address among the voters.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listen: Option<Address>,
+    /// The folder in which a voter keeps its vote and its log; nothing else may be in it.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub folder: Option<String>,
+    /// The voters, the same in all files and in the same order: 3, 5 or 7.
+    #[garde(dive, custom(|voters: &Vec<VoterRecord>, _: &()| {
+        if matches!(voters.len(), 3 | 5 | 7) { return Ok(()) }
+        Err(garde::Error::new(format!("{} voters, but 3, 5 or 7 are needed", voters.len())))
+    }))]
+    #[serde(default)]
+    pub voter: Vec<VoterRecord>,
+    /// Milliseconds that a lease lasts; 2,000 if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 600_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_ms: Option<u64>,
+    /// Milliseconds between a member's beats, each of which renews its leases; a fifth of a lease if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 20, 60_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub beat_ms: Option<u64>,
+    /// Milliseconds between a voter's looks at the leader; 150 if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 20, 60_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub election_ms: Option<u64>,
+    /// The part by which clocks may run too fast or too slow; 0.01 if left out.
+    #[garde(inner(custom(|part: &f64, _: &()| {
+        if (0.0..=0.5).contains(part) { return Ok(()) }
+        Err(garde::Error::new(format!("{part} is not between 0 and 0.5")))
+    })))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drift: Option<f64>,
+    /// Milliseconds without progress after which a holder loses its duty; ten leases if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 3_600_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stuck_ms: Option<u64>,
+    /// Milliseconds of silence after which a member is no longer counted; three leases if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 3_600_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gone_ms: Option<u64>,
+    /// Duties that this process takes.
+    #[garde(dive)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub duty: Vec<DutyRecord>,
+    /// The folder that the fleet's record is written to; all that take the duty `record` must reach the same.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub record: Option<String>,
+}
+
+/// `[[quorum.voter]]`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct VoterRecord {
+    /// The name of its process.
+    #[garde(custom(word))]
+    pub name: String,
+    /// Where the others reach it.
+    #[garde(skip)]
+    pub address: Address,
+}
+
+/// `[[quorum.duty]]`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct DutyRecord {
+    /// Which.
+    #[garde(custom(|name: &String, _: &()| {
+        if quorum::DUTIES.contains(&name.as_str()) { return Ok(()) }
+        Err(garde::Error::new(format!("no such duty; known: {}", quorum::DUTIES.join(", "))))
+    }))]
+    pub name: String,
+    /// How much of it this process takes, beside others; 1 if left out.
+    #[garde(inner(range(min = 1, max = 1000)))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<u32>,
+}
+
+fn word(text: &str, _: &()) -> garde::Result {
+    let good = |b: u8| b.is_ascii_alphanumeric() || b"-._".contains(&b);
+    if (1..=64).contains(&text.len()) && text.bytes().all(good) {
+        return Ok(());
+    }
+    Err(garde::Error::new("not 1 to 64 letters, digits and -._"))
+}
+
+impl QuorumRecord {
+    /// What no field shows alone.
+    fn agree(&self, name: Option<&str>, wrong: &mut Vec<Wrong>) {
+        let mut push = |field: String, why: &str| wrong.push((field, why.to_owned()));
+        for (i, voter) in self.voter.iter().enumerate() {
+            let before = &self.voter[..i];
+            if before.iter().any(|other| other.name == voter.name) {
+                push(format!("quorum.voter[{i}].name"), "a voter of this name is there already");
+            }
+            if before.iter().any(|other| other.address == voter.address) {
+                push(format!("quorum.voter[{i}].address"), "another voter has this address");
+            }
+        }
+        let Some(name) = name else {
+            return push("name".into(), "required where there is a [quorum]");
+        };
+        if word(name, &()).is_err() {
+            push("name".into(), "not 1 to 64 letters, digits and -._, as [quorum] needs");
+        }
+        let votes = self.voter.iter().any(|voter| voter.name == name);
+        match (votes, &self.folder, &self.listen) {
+            (true, None, _) => push("quorum.folder".into(), "required for a voter: its vote must survive it"),
+            (false, Some(_), _) => push("quorum.folder".into(), "only for voters, and this process is none"),
+            (false, _, Some(_)) => push("quorum.listen".into(), "only for voters, and this process is none"),
+            _ => {}
+        }
+        let lease = self.lease_ms.unwrap_or(2_000);
+        if self.beat_ms.is_some_and(|beat| beat * 2 > lease) {
+            push("quorum.beat_ms".into(), "more than half a lease: one lost beat would lose the lease");
+        }
+        if self.drift.is_some_and(|drift| lease as f64 * (1.0 - drift) < 100.0) {
+            push("quorum.drift".into(), "leaves the holder less than 100 ms of a lease");
+        }
+        let records = self.duty.iter().position(|duty| duty.name == quorum::RECORD);
+        match (records, &self.record) {
+            (Some(_), None) => push("quorum.record".into(), "required by the duty record"),
+            (None, Some(_)) => push("quorum.record".into(), "needs the duty record"),
+            _ => {}
+        }
+        for (i, duty) in self.duty.iter().enumerate() {
+            if self.duty[..i].iter().any(|other| other.name == duty.name) {
+                push(format!("quorum.duty[{i}].name"), "this duty is there already");
+            }
+        }
+    }
+}
+
 impl OperatorFile {
     /// Checks the values against what the settings allow.
     pub fn check(&self, source: &Source<'_>, bounds: &Bounds) -> Result<(), Findings> {
@@ -288,6 +436,9 @@
                 wrong.push(("watch.unsealed".into(), reason.into()));
             }
         }
+        if let Some(quorum) = &self.quorum {
+            quorum.agree(self.name.as_deref(), &mut wrong);
+        }
         if wrong.is_empty() { Ok(()) } else { Err(Findings(source.findings(wrong))) }
     }
 }
