--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use amberspindle::api::Micros;
+use amberspindle::config::Config;
 use amberspindle::quorum::book::Change;
 use amberspindle::quorum::founding::Barred;
 use amberspindle::quorum::frame::Frame;
@@ -265,3 +266,69 @@
     world.pass(5_000_000);
     world.agreed();
 }
+
+/// The five brokers of `deploy/quorum`.
+fn deployed(n: u32) -> String {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/quorum");
+    std::fs::read_to_string(format!("{folder}/broker-{n}.toml")).unwrap()
+}
+
+fn findings(text: &str) -> Vec<String> {
+    let read = Config::operator_text("f.toml", text, std::path::Path::new("/d"));
+    read.map_or_else(
+        |found| found.0.iter().map(|f| format!("{}: {}", f.field, f.reason)).collect(),
+        |_| Vec::new(),
+    )
+}
+
+#[test]
+fn the_deployed_files_can_work_and_name_the_same_voters() {
+    let read =
+        |n| Config::operator_text("f", &deployed(n), std::path::Path::new("/d")).unwrap().quorum.unwrap();
+    let first = read(1);
+    for n in 1..=5 {
+        let quorum = read(n);
+        assert_eq!((&quorum.voters, quorum.voter().is_some()), (&first.voters, n <= 3));
+        assert_eq!(quorum.listen.is_some(), n <= 3);
+    }
+    assert_eq!(first.folder.unwrap(), std::path::Path::new("/d/state/broker-1"));
+}
+
+#[test]
+fn what_cannot_work_is_told_by_its_field() {
+    for (from, to, finding) in [
+        ("folder = \"state/broker-1\"", "", "quorum.folder: required for a voter: its vote must survive it"),
+        (
+            "name = \"broker-1\"\n\n[whip]",
+            "name = \"x\"\n\n[whip]",
+            "quorum.folder: only for voters, and this process is none",
+        ),
+        (
+            "name = \"broker-2\"",
+            "name = \"broker-1\"",
+            "quorum.voter[1].name: a voter of this name is there already",
+        ),
+        ("127.0.0.1:7102", "127.0.0.1:7101", "quorum.voter[1].address: another voter has this address"),
+        (
+            "lease_ms = 2000",
+            "lease_ms = 2000\nbeat_ms = 1500",
+            "quorum.beat_ms: more than half a lease: one lost beat would lose the lease",
+        ),
+        ("drift = 0.01", "drift = 0.7", "quorum.drift: 0.7 is not between 0 and 0.5"),
+        ("name = \"idle\"", "name = \"idel\"", "quorum.duty[1].name: no such duty; known: record, idle"),
+        ("name = \"idle\"", "name = \"record\"", "quorum.duty[1].name: this duty is there already"),
+        ("record = \"state/record\"", "", "quorum.record: required by the duty record"),
+        ("cluster = \"corrib\"", "cluster = \"a b\"", "quorum.cluster: not 1 to 64 letters, digits and -._"),
+    ] {
+        let text = deployed(1);
+        assert!(text.contains(from), "{from}");
+        let found = findings(&text.replacen(from, to, 1));
+        assert!(found.iter().any(|f| f == finding), "{finding}: {found:?}");
+    }
+    let four = deployed(1).replacen(
+        "[[quorum.duty]]",
+        "[[quorum.voter]]\nname = \"v\"\naddress = \"127.0.0.1:9\"\n[[quorum.duty]]",
+        1,
+    );
+    assert_eq!(findings(&four), ["quorum.voter: 4 voters, but 3, 5 or 7 are needed"]);
+}
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -56,6 +56,8 @@
     // The program under trial is this executable with one word before its own arguments.
     if arguments.get(1).is_some_and(|word| word == "broker") {
         arguments.remove(1);
+        // Whatever becomes of the rig, its brokers do not outlive it.
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
         return amberspindle::cli::main_of(arguments);
     }
     let program = match std::env::current_exe() {
