A lease that ran out with no answer is told as given back, so that another gets it at once

Seen: in the trial holder-cut-one-way the duty idle had no holder for 11 s, eleven leases of a second. The new timeline shows it: the holder's beats were heard and the answers were not, so the leader went on counting it as the holder until the duty counted as stuck, ten leases later.

Change: what ran out is given back, in every beat from then on, and never taken up again by an answer that was still on its way. Runs of trials keep a timeline as SVG with a mark for each step.

--- a/src/quorum/holder.rs
+++ b/src/quorum/holder.rs
@@ -118,6 +118,9 @@
             .collect();
         let gone = over.into_iter().map(|(duty, epoch)| {
             self.held.remove(&duty);
+            // An answer that is still on its way does not bring it back: beats may be heard though no answer is,
+            // and the leader would otherwise take it for held.
+            self.given.insert(duty.clone(), epoch);
             News::RanOut(duty, epoch)
         });
         gone.collect()
@@ -227,6 +230,19 @@
         assert!(holder.told(Boot(410), &told(9, &[("idle", 8)]), &setup()).is_empty(), "no beat of ours");
     }
 
+    /// Seen in a trial: with answers lost and beats heard a duty had no holder for eleven leases.
+    #[test]
+    fn a_lease_that_ran_out_is_told_as_given_back() {
+        let (mut holder, idle) = (Holder::default(), Duty("idle".into()));
+        holder.sent(1, Boot(100));
+        holder.sent(2, Boot(900));
+        holder.told(Boot(110), &told(1, &[("idle", 7)]), &setup());
+        assert_eq!(holder.expire(Boot(1000)), [News::RanOut(idle.clone(), Epoch(7))]);
+        assert_eq!(holder.given(), [(idle.clone(), Epoch(7))]);
+        holder.told(Boot(1010), &told(2, &[("idle", 7)]), &setup());
+        assert_eq!(holder.permit(&idle, Boot(1020)), None, "an answer that was on its way");
+    }
+
     #[test]
     fn what_was_given_back_is_not_taken_up_again() {
         let (mut holder, idle) = (Holder::default(), Duty("idle".into()));
--- a/trials/src/history.rs
+++ b/trials/src/history.rs
@@ -97,23 +97,87 @@
     led.filter_map(|l| Some((l.number("reign")?, l.field("leader")?.to_owned()))).max()
 }
 
-/// A timeline as text: who held what, by epoch, and how long nobody did.
-pub fn timeline(lines: &[Line]) -> Vec<String> {
-    let mut spans: BTreeMap<(String, u64), (String, u64, u64)> = BTreeMap::new();
+/// A span in which a process acted for a duty.
+struct Span {
+    duty: String,
+    epoch: u64,
+    who: String,
+    from: u64,
+    to: u64,
+}
+
+/// Who acted for what, by duty and epoch.
+fn spans(lines: &[Line]) -> Vec<Span> {
+    let mut spans: BTreeMap<(String, u64), Span> = BTreeMap::new();
     for line in lines {
         let duty = if line.event() == "record.wrote" { Some("record") } else { line.field("duty") };
         let acts = matches!(line.event(), "record.wrote" | "duty.acts");
         if let (true, Some(duty), Some(epoch), Some(at)) =
             (acts, duty, line.number("epoch"), line.number("at"))
         {
-            let span = spans.entry((duty.to_owned(), epoch)).or_insert((line.who.clone(), at, at));
-            (span.1, span.2) = (span.1.min(at), span.2.max(at));
+            let (who, duty) = (line.who.clone(), duty.to_owned());
+            let new = Span { duty: duty.clone(), epoch, who, from: at, to: at };
+            let span = spans.entry((duty, epoch)).or_insert(new);
+            (span.from, span.to) = (span.from.min(at), span.to.max(at));
+        }
+    }
+    spans.into_values().collect()
+}
+
+// Pixels of a timeline's width, of a row's height and of the names before it.
+const WIDE: u64 = 1_000;
+const ROW: u64 = 22;
+const NAMES: u64 = 110;
+
+/// A timeline as a picture: a bar for each epoch in the row of the process that acted, and a mark for each step.
+pub fn svg(lines: &[Line]) -> String {
+    let spans = spans(lines);
+    let steps = lines.iter().filter(|l| l.event() == "rig.step");
+    let marks: Vec<(u64, &str)> =
+        steps.filter_map(|l| Some((l.number("at")?, l.text.split_once(" what=")?.1))).collect();
+    let from = spans.iter().map(|s| s.from).chain(marks.iter().map(|m| m.0)).min().unwrap_or(0);
+    let to = spans.iter().map(|s| s.to).chain(marks.iter().map(|m| m.0)).max().unwrap_or(from).max(from + 1);
+    let x = |at: u64| NAMES + (at - from) * WIDE / (to - from);
+    let rows: Vec<(&str, &str)> = {
+        let mut rows: Vec<_> = spans.iter().map(|s| (s.duty.as_str(), s.who.as_str())).collect();
+        rows.sort_unstable();
+        rows.dedup();
+        rows
+    };
+    let (width, height) = (NAMES + WIDE + 20, (rows.len() as u64 + 2) * ROW);
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" font-family=\"sans-serif\" font-size=\"11\">\n"
+    );
+    for (at, what) in marks {
+        let what: String = what.chars().filter(|c| !"<>&\"".contains(*c)).collect();
+        svg += &format!(
+            "<line x1=\"{0}\" y1=\"0\" x2=\"{0}\" y2=\"{height}\" stroke=\"#bbb\"><title>{what}</title></line>\n",
+            x(at)
+        );
+    }
+    for (row, (duty, who)) in rows.iter().enumerate() {
+        let y = (row as u64 + 1) * ROW;
+        svg += &format!("<text x=\"2\" y=\"{}\">{duty} {who}</text>\n", y + 14);
+        for span in spans.iter().filter(|s| (s.duty.as_str(), s.who.as_str()) == (*duty, *who)) {
+            let (left, wide) = (x(span.from), (x(span.to) - x(span.from)).max(2));
+            let colour = if *duty == "record" { "#3b7dd8" } else { "#d8803b" };
+            svg += &format!(
+                "<rect x=\"{left}\" y=\"{y}\" width=\"{wide}\" height=\"{}\" fill=\"{colour}\"><title>epoch {}</title></rect>\n",
+                ROW - 4,
+                span.epoch
+            );
         }
     }
+    svg + "</svg>\n"
+}
+
+/// A timeline as text: who held what, by epoch, and how long nobody did.
+pub fn timeline(lines: &[Line]) -> Vec<String> {
+    let spans = spans(lines);
     let mut told = Vec::new();
     let mut last: BTreeMap<String, u64> = BTreeMap::new();
-    let start = spans.values().map(|(_, from, _)| *from).min().unwrap_or(0);
-    for ((duty, epoch), (who, from, to)) in spans {
+    let start = spans.iter().map(|s| s.from).min().unwrap_or(0);
+    for Span { duty, epoch, who, from, to } in spans {
         let gap = last.insert(duty.clone(), to).map_or(String::new(), |end| {
             format!(", {} ms after the last act before", from.saturating_sub(end) / 1000)
         });
--- a/trials/src/measure.rs
+++ b/trials/src/measure.rs
@@ -4,12 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use clap::ValueEnum;
-use rustix::time::{ClockId, clock_gettime};
-
 use crate::history::Line;
-use crate::run::{Options, PATIENCE, Rig};
+use crate::run::{Options, PATIENCE, Rig, boot_now};
 use crate::scenario::{Scenario, Step};
+use clap::ValueEnum;
 
 /// What happens to the holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -26,11 +24,6 @@
     Leader,
 }
 
-fn boot_now() -> u64 {
-    let now = clock_gettime(ClockId::Boottime);
-    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
-}
-
 /// The last that took the duty, and when.
 fn taken(lines: &[Line]) -> Option<(u64, u64, String)> {
     let took = lines.iter().filter(|l| l.event() == "duty.took" && l.field("duty") == Some("idle"));
--- a/trials/src/run.rs
+++ b/trials/src/run.rs
@@ -74,6 +74,12 @@
     name.strip_prefix("broker-").and_then(|n| n.parse().ok()).ok_or_else(|| format!("{name}: no process"))
 }
 
+/// The clock that runs while the machine sleeps too, in microseconds; all processes of a trial share it.
+pub(crate) fn boot_now() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
+}
+
 /// Runs a scenario; an error is one of the rig or something that never came.
 pub fn run(name: &str, scenario: &Scenario, options: &Options) -> Result<Report, String> {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
@@ -83,6 +89,9 @@
     let mut rig = Rig::new(scenario, options, folder.clone())?;
     let done = rig.begin().and_then(|()| {
         for (i, step) in scenario.step.iter().enumerate() {
+            let at = boot_now();
+            let text = format!("rig.step at={at} n={} what={step:?}", i + 1);
+            rig.history.push(Line { who: "rig".into(), run: 0, how: String::new(), text });
             rig.step(step).map_err(|e| format!("step {}: {e}", i + 1))?;
         }
         Ok(())
@@ -117,7 +126,12 @@
     if options.keep.is_some() {
         let log: Vec<String> = lines.iter().map(|l| format!("{}#{} {}", l.who, l.run, l.text)).collect();
         let seed = format!("scenario={name} seed={} mutant={:?}\n", options.seed, options.mutant);
-        for (file, text) in [("history", log.join("\n")), ("timeline", timeline.join("\n")), ("run", seed)] {
+        for (file, text) in [
+            ("history", log.join("\n")),
+            ("timeline", timeline.join("\n")),
+            ("run", seed),
+            ("timeline.svg", history::svg(&lines)),
+        ] {
             let _ = std::fs::write(folder.join(file), text);
         }
     }
