A new holder is nudged to beat at once instead of hearing of its lease by its next beat

Seen: over 200 hand-overs at SIGTERM the next holder took the duty after 104 ms in the median and 108 ms at p99, with beats each 200 ms: the grant was agreed on at once, and the new holder heard of it by its next beat.

Change: the leader that sees a grant agreed on sends the new holder a word on the way its last beat came, through the voter that passed that on where there was one. The word gives nothing: the lease still counts from the sending of a beat whose answer a majority vouches for.

--- a/src/quorum/frame.rs
+++ b/src/quorum/frame.rs
@@ -139,6 +139,8 @@
     Beat(Beat, bool),
     /// Its answer.
     Told(Told),
+    /// A process has something to hear: its next beat is wanted at once.
+    Nudge(Process),
     /// How far a voter's journals of the others reach, as it knows.
     Written(u64),
     /// A command asks how things stand.
@@ -251,6 +253,7 @@
             | Frame::Confirmed(_)
             | Frame::Beat(..)
             | Frame::Told(_)
+            | Frame::Nudge(_)
             | Frame::Written(_)
     )
 }
--- a/src/quorum/ledger.rs
+++ b/src/quorum/ledger.rs
@@ -35,6 +35,7 @@
 struct Heard {
     process: Process,
     at: Boot,
+    via: Via,
     /// Beats since it came, up to what a join needs.
     beats: u32,
     wants: Vec<(Duty, u32)>,
@@ -125,6 +126,7 @@
         let heard = self.heard.entry(name.clone()).or_insert_with(|| Heard {
             process: beat.process.clone(),
             at: now,
+            via,
             beats: 0,
             wants: Vec::new(),
             draining: false,
@@ -135,7 +137,7 @@
             (heard.process, heard.beats) = (beat.process.clone(), 0);
             heard.progress.clear();
         }
-        heard.at = now;
+        (heard.at, heard.via) = (now, via);
         heard.beats = heard.beats.saturating_add(1);
         heard.wants.clone_from(&beat.wants);
         (heard.draining, heard.counts) = (beat.draining, beat.counts);
@@ -238,6 +240,11 @@
         self.heard.iter().map(mate).collect()
     }
 
+    /// Where a process was last heard, in this run of it.
+    pub fn way_to(&self, process: &Process) -> Option<Via> {
+        self.heard.get(&process.name).filter(|h| h.process == *process).map(|h| h.via)
+    }
+
     /// How long a lease would last if nothing more were heard of its holder.
     pub fn left(&self, now: Boot, duty: &Duty) -> Option<Micros> {
         self.until.get(duty).map(|(_, until)| until.since(now))
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -490,6 +490,7 @@
                 out.push(Out::Redial(voter, "refused"));
             }
             Frame::Told(told) => self.told(now, told, out),
+            Frame::Nudge(process) => self.nudged(now, process, out),
             _ => out.push(Out::Redial(voter, "garbled")),
         }
     }
@@ -617,12 +618,34 @@
             let name = self.setup.voter_name(*voter).cloned().unwrap_or_default();
             out.push(Out::Tell(Event::Leads(name, reign.0)));
         }
+        let mut nudge = None;
         if let Some(ledger) = &mut seat.ledger {
             ledger.changed(&change);
+            // A new holder would else hear of it by its next beat only.
+            if let Change::Granted(_, lease) = &change {
+                nudge = ledger.way_to(&lease.holder).map(|via| (via, lease.holder.clone()));
+            }
         }
         if !matches!(change, Change::Void | Change::Led(..)) {
             out.push(Out::Tell(Event::Changed(agree.applied(), change)));
         }
+        match nudge {
+            Some((Via::Own, process)) => self.nudged(now, process, out),
+            Some((Via::Conn(conn), process)) => out.push(Out::Reply(conn, Frame::Nudge(process))),
+            None => {}
+        }
+    }
+
+    /// A beat is wanted at once: this process's own, or that of one whose beats it passed on.
+    fn nudged(&mut self, now: Boot, process: Process, out: &mut Vec<Out>) {
+        if process == self.process {
+            self.beat_at = now;
+            return;
+        }
+        let via = self.seat.as_ref().and_then(|s| s.passed.get(&process));
+        if let Some(Via::Conn(conn)) = via {
+            out.push(Out::Reply(*conn, Frame::Nudge(process)));
+        }
     }
 
     /// The leader's part.
--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -267,6 +267,30 @@
     world.agreed();
 }
 
+#[test]
+fn a_duty_that_is_given_back_is_held_by_another_without_waiting_for_its_next_beat() {
+    let mut world = World::new();
+    world.pass(5_000_000);
+    let idle = |world: &World| {
+        let took = |(n, e): &(u64, Event)| match e {
+            Event::Took(duty, epoch) if duty.0 == "idle" => Some((*n, epoch.0)),
+            _ => None,
+        };
+        world.events.iter().filter_map(took).max_by_key(|(_, epoch)| *epoch).unwrap()
+    };
+    for _ in 0..20 {
+        let (holder, epoch) = idle(&world);
+        world.input(holder, Input::Drain);
+        // Far less than a beat: links are instant here.
+        world.pass(20_000);
+        assert!(idle(&world).1 > epoch);
+        world.kill(holder);
+        world.start(holder);
+        world.pass(2_730_000);
+    }
+    world.agreed();
+}
+
 /// The five brokers of `deploy/quorum`.
 fn deployed(n: u32) -> String {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/quorum");
