Say once in the quorum which voters are the others, how links are reached and what the clock says

Need: reading the whole change again: the voters but oneself and their names were each spelled out three times, four arms looked a link up alike, the boot clock was read by two copies of the same lines, the time after which a stalled peer is let go stood in two places, and some parts were used by nobody (a map of leases taken, a type, two accessors).

Change: one function for each; what was dead is gone. Behaviour is as it was.

--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -16,7 +16,7 @@
 use tracing::{info, warn};
 
 use super::outbox::Bell;
-use super::{TURN, code, micros, within};
+use super::{STALLED, TURN, code, micros, within};
 use crate::api::Micros;
 use crate::disk::{self, Journal};
 use crate::faults;
@@ -26,15 +26,15 @@
 use crate::quorum::frame::{self, Counts, Frame, Hello, Reader};
 use crate::quorum::journal::{self, Unusable};
 use crate::quorum::machine::Event;
+#[cfg(feature = "trials")]
+use crate::quorum::mutant;
 use crate::quorum::queue::Queue;
 use crate::quorum::record::{self, Done, Job};
 use crate::quorum::view::Status;
-use crate::quorum::{Boot, Duty, Incarnation, Input, Machine, Out, Setup, VoterId, mutant};
+use crate::quorum::{Boot, Duty, Incarnation, Input, Machine, Out, Setup, VoterId};
 
 /// A link that doesn't come up within this has failed.
 const CONNECT: Duration = Duration::from_secs(1);
-/// A peer that takes nothing for so long while there is something to write is let go.
-const STALLED: Duration = Duration::from_secs(2);
 /// The shortest wait between looks at what is due, whatever is.
 const SHORTEST: Micros = Micros(2_000);
 /// Connections that a voter holds at most: beyond that new ones are closed at once.
@@ -44,8 +44,7 @@
 
 /// The clock that runs while the machine sleeps too.
 pub fn boot_now() -> Boot {
-    let now = clock_gettime(ClockId::Boottime);
-    let now = now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000;
+    let now = real_now();
     // A trial may have this process's clock run too fast or too slow.
     let rate = faults::figure("clock-rate").unwrap_or(1.0);
     Boot(if rate == 1.0 { now } else { (now as f64 * rate) as u64 })
@@ -76,6 +75,13 @@
     }
 }
 
+/// Does something with a link, if it is there.
+fn on(links: &RefCell<BTreeMap<u64, Rc<Link>>>, number: u64, act: impl FnOnce(&Link)) {
+    if let Some(link) = links.borrow().get(&number) {
+        act(link);
+    }
+}
+
 enum Work {
     Write(u64, Vec<u8>),
     Rewrite(u64, Vec<u8>),
@@ -179,7 +185,6 @@
 ) -> io::Result<Rc<Quorum>> {
     #[cfg(feature = "trials")]
     mutant::choose(mutant::of_environment());
-    let _ = mutant::Mutant::ALL;
     let (to_us, from_disk) = async_channel::unbounded::<Input>();
     let mut opened = None;
     let mut journal = None;
@@ -266,26 +271,10 @@
     fn carry_out(&self, out: Vec<Out>) {
         for out in out {
             match out {
-                Out::Send(voter, frame) => {
-                    if let Some(link) = self.links.borrow().get(&voter) {
-                        link.push(&frame);
-                    }
-                }
-                Out::Redial(voter, reason) => {
-                    if let Some(link) = self.links.borrow().get(&voter) {
-                        link.finish(reason);
-                    }
-                }
-                Out::Reply(conn, frame) => {
-                    if let Some(link) = self.conns.borrow().get(&conn) {
-                        link.push(&frame);
-                    }
-                }
-                Out::Close(conn, reason) => {
-                    if let Some(link) = self.conns.borrow().get(&conn) {
-                        link.finish(reason);
-                    }
-                }
+                Out::Send(voter, frame) => on(&self.links, voter, |link| link.push(&frame)),
+                Out::Redial(voter, reason) => on(&self.links, voter, |link| link.finish(reason)),
+                Out::Reply(conn, frame) => on(&self.conns, conn, |link| link.push(&frame)),
+                Out::Close(conn, reason) => on(&self.conns, conn, |link| link.finish(reason)),
                 Out::Write(number, bytes) => self.work(Work::Write(number, bytes)),
                 Out::Rewrite(number, bytes) => self.work(Work::Rewrite(number, bytes)),
                 Out::Record(job) => {
@@ -565,8 +554,7 @@
 }
 
 fn hello(setup: &Setup) -> Hello {
-    let voters = setup.voters.iter().map(|v| v.name.clone()).collect();
-    Hello { cluster: setup.cluster.clone(), process: None, voters, papers: None }
+    Hello { cluster: setup.cluster.clone(), process: None, voters: setup.voter_names(), papers: None }
 }
 
 /// Voters in the order in which a command asks them: this process first, where it is one.
--- a/src/quorum/frame.rs
+++ b/src/quorum/frame.rs
@@ -1,7 +1,6 @@
 //! What processes of a quorum say to each other: length-prefixed frames of `postcard`. The first on a connection
 //! begins with a mark and the format's number, so that any format can be told from noise.
 
-use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -258,9 +257,6 @@
     )
 }
 
-/// What a peer is known to have written, by voter.
-pub type Written = BTreeMap<VoterId, u64>;
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -155,7 +155,6 @@
     writer: Writer,
     idle_at: Boot,
     idle_acts: u64,
-    kept: BTreeMap<Duty, Epoch>,
 }
 
 impl Machine {
@@ -190,7 +189,6 @@
             writer: Writer::default(),
             idle_at: now,
             idle_acts: 0,
-            kept: BTreeMap::new(),
         };
         match (setup.voter(), journal) {
             (Some(me), Some(Ok(read))) => machine.sit(me, read, now, out),
@@ -324,18 +322,13 @@
         other.fold(self.beat_at, Boot::min)
     }
 
-    /// The agreed view, as far as this process knows it.
-    pub fn view(&self) -> &View {
-        &self.view
-    }
-
     // ---- What others say.
 
     fn hello(&self, to: VoterId) -> Hello {
         Hello {
             cluster: self.setup.cluster.clone(),
             process: Some(self.process.clone()),
-            voters: self.setup.voters.iter().map(|v| v.name.clone()).collect(),
+            voters: self.setup.voter_names(),
             papers: self.seat.as_ref().map(|seat| seat.papers(to)),
         }
     }
@@ -542,7 +535,7 @@
                 self.verify(conn);
             }
             // Each shows its papers anew, now with the roster.
-            for voter in (1..=self.setup.voters.len() as VoterId).filter(|v| Some(*v) != self.setup.voter()) {
+            for voter in self.setup.others() {
                 out.push(Out::Redial(voter, "founded"));
             }
         }
@@ -581,7 +574,7 @@
                 return self.bar(Barred::Folder("agreement gave up".into()), out);
             }
             let written = seat.on_disk;
-            for voter in (1..=self.setup.voters.len() as VoterId).filter(|v| *v != seat.me) {
+            for voter in self.setup.others() {
                 out.push(Out::Send(voter, Frame::Written(written)));
             }
         }
@@ -668,7 +661,7 @@
         let Some(ledger) = &mut seat.ledger else { return };
         let entries = ledger.decide(now, agree.book());
         if let Some(confirm) = ledger.ask(now) {
-            for voter in (1..=self.setup.voters.len() as VoterId).filter(|v| *v != seat.me) {
+            for voter in self.setup.others() {
                 out.push(Out::Send(voter, Frame::Confirm(confirm)));
             }
         }
@@ -794,10 +787,7 @@
 
     fn news(&mut self, news: News, out: &mut Vec<Out>) {
         out.push(Out::Tell(match news {
-            News::Took(duty, epoch) => {
-                self.kept.insert(duty.clone(), epoch);
-                Event::Took(duty, epoch)
-            }
+            News::Took(duty, epoch) => Event::Took(duty, epoch),
             News::RanOut(duty, epoch) => Event::Lost(duty, epoch, "ran-out"),
             News::Taken(duty, epoch) => Event::Lost(duty, epoch, "taken"),
         }));
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -158,6 +158,17 @@
         self.voters.iter().position(|v| v.name == *name).map(|i| i as VoterId + 1)
     }
 
+    /// The numbers of all voters but this process.
+    pub fn others(&self) -> impl Iterator<Item = VoterId> + use<> {
+        let own = self.voter();
+        (1..=self.voters.len() as VoterId).filter(move |voter| Some(*voter) != own)
+    }
+
+    /// The names of the voters, in order.
+    pub fn voter_names(&self) -> Vec<Name> {
+        self.voters.iter().map(|v| v.name.clone()).collect()
+    }
+
     /// The part of a span that is set aside for clocks that run too fast or too slow.
     pub fn drift_of(&self, span: Micros) -> Micros {
         if mutant::on(mutant::Mutant::NoDrift) {
--- a/src/quorum/store.rs
+++ b/src/quorum/store.rs
@@ -132,11 +132,6 @@
     pub fn whole(&self) -> Vec<Op> {
         self.0.borrow().state.as_ops()
     }
-
-    /// Whether anything was ever voted on here.
-    pub fn voted(&self) -> bool {
-        self.0.borrow().state.promise.is_some()
-    }
 }
 
 impl Storage<Entry> for Store {
