--- a/src/cli.rs
+++ b/src/cli.rs
@@ -86,6 +86,17 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Replace a voter, also one that is dead, by a spare, and wait until the new voters have a leader
+    Replace {
+        /// The voter that goes
+        voter: String,
+        /// The process that votes in its place; the same name for one that lost its folder
+        #[arg(long, value_name = "NAME")]
+        by: String,
+        /// An operator's file with a [quorum]
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Print the fleet's record, joined over all epochs; what does not count is summed up on standard error
     Record {
         /// An operator's file with a [quorum] that takes the duty record
@@ -183,6 +194,11 @@
             say(&format!("{duty}: its holder is asked to hand it on"));
             Ok(())
         }
+        AskQuorum::Replace { voter, by, config } => {
+            let status = net::quorum::replace(&quorum_of(&config)?, &voter, &by).map_err(failed)?;
+            say(&status_text(&status));
+            Ok(())
+        }
         AskQuorum::Record { config, folder } => {
             let folder = match (folder, config) {
                 (Some(folder), _) => folder,
@@ -207,8 +223,8 @@
     let leader = status.leader.as_ref().map_or("none known", |l| l.0.as_str());
     let vouched = if status.confirmed { "" } else { ", not vouched for by a majority" };
     let mut lines = vec![format!(
-        "told by {}: leader {leader}{vouched}, reign {}, version {}, {} entries",
-        status.member, status.reign.0, status.version, status.entries
+        "told by {}: leader {leader}{vouched}, council {}, reign {}, version {}, {} entries",
+        status.member, status.council, status.reign.0, status.version, status.entries
     )];
     lines.extend(status.barred.iter().map(|why| format!("{} has no vote: {why}", status.member)));
     for voter in &status.voters {
--- a/src/config.rs
+++ b/src/config.rs
@@ -204,8 +204,10 @@
         name: quorum::Name(v.name.clone()),
         address: v.address.0,
     };
-    let voters: Vec<quorum::Voter> = record.voter.iter().map(voter).collect();
-    let own = voters.iter().find(|v| v.name == name).map(|v| v.address);
+    let of = |spare| record.voter.iter().filter(move |v| v.spare == spare);
+    let voters: Vec<quorum::Voter> = of(false).map(voter).collect();
+    let spares: Vec<quorum::Voter> = of(true).map(voter).collect();
+    let own = voters.iter().chain(&spares).find(|v| v.name == name).map(|v| v.address);
     quorum::Setup {
         cluster: record.cluster.clone(),
         listen: own.map(|own| record.listen.map_or(own, |a| a.0)),
@@ -220,6 +222,7 @@
         record: record.record.as_ref().map(|dir| base.join(dir)),
         name,
         voters,
+        spares,
     }
 }
 
--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -2,12 +2,12 @@
 //! is decided by [`Machine`].
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -22,6 +22,7 @@
 use crate::faults;
 use crate::quorum::backoff::Backoff;
 use crate::quorum::book::Change;
+use crate::quorum::council::Unreplaced;
 use crate::quorum::founding::Barred;
 use crate::quorum::frame::{self, Counts, Frame, Hello, Reader};
 use crate::quorum::journal::{self, Unusable};
@@ -31,7 +32,7 @@
 use crate::quorum::queue::Queue;
 use crate::quorum::record::{self, Done, Job};
 use crate::quorum::view::Status;
-use crate::quorum::{Boot, Duty, Incarnation, Input, Machine, Out, Setup, VoterId};
+use crate::quorum::{Boot, Duty, Incarnation, Input, Machine, Name, Out, Setup, VoterId};
 
 /// A link that doesn't come up within this has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -93,6 +94,9 @@
     links: RefCell<BTreeMap<VoterId, Rc<Link>>>,
     conns: RefCell<BTreeMap<u64, Rc<Link>>>,
     next_conn: Cell<u64>,
+    incarnation: Incarnation,
+    /// Voters that are dialled; one that has gone does not come again, as numbers are not.
+    dialled: RefCell<BTreeSet<VoterId>>,
     journal: Option<async_channel::Sender<Work>>,
     record: Option<async_channel::Sender<Job>>,
     bell: Bell,
@@ -103,6 +107,10 @@
     match event {
         Event::Founded => info!(event = "quorum.founded"),
         Event::Votes => info!(event = "quorum.votes"),
+        Event::Council(number, names) => {
+            let names: Vec<&str> = names.iter().map(|n| n.0.as_str()).collect();
+            info!(event = "quorum.council", number, voters = names.join(","), at = real_now());
+        }
         Event::Barred(why) => warn!(event = "quorum.no-vote", reason = %why),
         Event::Leads(name, reign) => info!(event = "quorum.leader", leader = name.0.as_str(), reign),
         Event::Took(duty, epoch) => {
@@ -188,7 +196,7 @@
     let (to_us, from_disk) = async_channel::unbounded::<Input>();
     let mut opened = None;
     let mut journal = None;
-    if let (Some(_), Some(folder)) = (setup.voter(), &setup.folder) {
+    if let Some(folder) = &setup.folder {
         opened = Some(match open(folder) {
             Ok((file, read)) => {
                 let (sender, work) = async_channel::unbounded();
@@ -220,12 +228,13 @@
         links: RefCell::default(),
         conns: RefCell::default(),
         next_conn: Cell::new(0),
+        incarnation,
+        dialled: RefCell::default(),
         journal,
         record,
         bell: Bell::default(),
         executor: executor.clone(),
     });
-    quorum.carry_out(out);
     if let Some(address) = setup.listen {
         let listener = Async::<TcpListener>::bind(address).map_err(|e| {
             io::Error::new(e.kind(), format!("quorum.listen: can't listen on {address}: {e}"))
@@ -234,10 +243,7 @@
         info!(event = "listens", name = setup.name.0.as_str(), address = %address, front = "quorum");
         executor.spawn(accept(quorum.clone(), listener)).detach();
     }
-    for (i, voter) in setup.voters.iter().enumerate().filter(|(_, v)| v.name != setup.name) {
-        let seed = incarnation.0 ^ (i as u64) << 48;
-        executor.spawn(dial(quorum.clone(), i as VoterId + 1, voter.address, seed)).detach();
-    }
+    quorum.carry_out(out);
     executor.spawn(keep_time(quorum.clone())).detach();
     let of_disk = quorum.clone();
     let answers = async move {
@@ -250,7 +256,7 @@
 }
 
 impl Quorum {
-    fn step(&self, input: Input) {
+    fn step(self: &Rc<Self>, input: Input) {
         let mut out = Vec::new();
         // The time is read after the input was, so that nothing is judged by a moment before it.
         self.machine.borrow_mut().handle(boot_now(), input, &mut out);
@@ -259,19 +265,28 @@
     }
 
     /// This process gives back what it holds.
-    pub fn drain(&self) {
+    pub fn drain(self: &Rc<Self>) {
         self.step(Input::Drain);
     }
 
     /// What the broker counts.
-    pub fn count(&self, counts: Counts) {
+    pub fn count(self: &Rc<Self>, counts: Counts) {
         self.step(Input::Counts(counts));
     }
 
-    fn carry_out(&self, out: Vec<Out>) {
+    fn carry_out(self: &Rc<Self>, out: Vec<Out>) {
         for out in out {
             match out {
                 Out::Send(voter, frame) => on(&self.links, voter, |link| link.push(&frame)),
+                Out::Dial(voter, address) => {
+                    let seed = self.incarnation.0 ^ voter << 48;
+                    self.dialled.borrow_mut().insert(voter);
+                    self.executor.spawn(dial(self.clone(), voter, address, seed)).detach();
+                }
+                Out::Leave(voter) => {
+                    self.dialled.borrow_mut().remove(&voter);
+                    on(&self.links, voter, |link| link.finish("replaced"));
+                }
                 Out::Redial(voter, reason) => on(&self.links, voter, |link| link.finish(reason)),
                 Out::Reply(conn, frame) => on(&self.conns, conn, |link| link.push(&frame)),
                 Out::Close(conn, reason) => on(&self.conns, conn, |link| link.finish(reason)),
@@ -431,7 +446,7 @@
 /// The link to a voter, dialled again whenever it ends.
 async fn dial(quorum: Rc<Quorum>, voter: VoterId, address: SocketAddr, seed: u64) {
     let mut backoff = Backoff::new(seed);
-    loop {
+    while quorum.dialled.borrow().contains(&voter) {
         if let Ok(stream) = within(CONNECT, Async::<TcpStream>::connect(address)).await {
             let _ = stream.get_ref().set_nodelay(true);
             let link = Rc::new(Link::default());
@@ -554,17 +569,23 @@
 }
 
 fn hello(setup: &Setup) -> Hello {
-    Hello { cluster: setup.cluster.clone(), process: None, voters: setup.voter_names(), papers: None }
+    Hello {
+        cluster: setup.cluster.clone(),
+        process: None,
+        voters: setup.voter_names(),
+        council: 0,
+        papers: None,
+    }
 }
 
-/// Voters in the order in which a command asks them: this process first, where it is one.
+/// Processes that keep a log, in the order in which a command asks them: this one first, if it does.
 fn asked(setup: &Setup) -> Vec<(String, SocketAddr)> {
     let own = |v: &&crate::quorum::Voter| v.name == setup.name;
     let address = |v: &crate::quorum::Voter| {
         (v.name.0.clone(), if v.name == setup.name { setup.listen.unwrap_or(v.address) } else { v.address })
     };
-    let others = setup.voters.iter().filter(|v| !own(v));
-    setup.voters.iter().filter(own).chain(others).map(address).collect()
+    let all = || setup.voters.iter().chain(&setup.spares);
+    all().filter(own).chain(all().filter(|v| !own(v))).map(address).collect()
 }
 
 /// How things stand, told by the leader where one is known, else by the first voter that answers.
@@ -574,7 +595,10 @@
         match ask_status(setup, address) {
             Ok(status) if status.confirmed => return Ok(status),
             Ok(status) => {
-                let better = found.as_ref().is_none_or(|f| f.barred.is_some() || status.version > f.version);
+                let better = |f: &Status| {
+                    f.barred.is_some() || (status.council, status.version) > (f.council, f.version)
+                };
+                let better = found.as_ref().is_none_or(better);
                 found = if better { Some(status) } else { found };
             }
             Err(error) => problems.push(format!("{name} ({address}): {error}")),
@@ -609,6 +633,48 @@
     Err(problems.join("; "))
 }
 
+/// How long a command waits for a change of voters to be through.
+const THROUGH: Duration = Duration::from_secs(30);
+
+/// Has a voter replaced by a process that offers itself, and waits until the new voters have a leader.
+pub fn replace(setup: &Setup, gone: &str, new: &str) -> Result<Status, String> {
+    let frame = Frame::Replace(Name(gone.to_owned()), Name(new.to_owned()));
+    let answer = |frame: Frame| match frame {
+        Frame::Replacing(done) => Some(done),
+        _ => None,
+    };
+    let mut problems = Vec::new();
+    for (name, address) in asked(setup) {
+        let number = match async_io::block_on(ask(address, &hello(setup), &frame, answer)) {
+            Ok(Ok(number)) => number,
+            // Only the leader says this, and whoever else is asked does not know better.
+            Ok(Err(why)) if why != Unreplaced::NotLeading => return Err(format!("{name}: {why}")),
+            Ok(Err(why)) => {
+                problems.push(format!("{name}: {why}"));
+                continue;
+            }
+            Err(error) => {
+                problems.push(format!("{name} ({address}): {error}"));
+                continue;
+            }
+        };
+        let until = Instant::now() + THROUGH;
+        while Instant::now() < until {
+            if let Ok(status) = show(setup)
+                && status.council >= number
+                && status.confirmed
+            {
+                return Ok(status);
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        return Err(format!(
+            "{name}: council {number} was proposed, but nobody led it within 30 s; see `quorum show`"
+        ));
+    }
+    Err(problems.join("; "))
+}
+
 /// The fleet's record, joined from the files of a folder.
 pub fn read_record(folder: &Path) -> Result<record::Joined, String> {
     let failed = |path: PathBuf, e: io::Error| format!("{}: {e}", path.display());
--- a/src/quorum/agree.rs
+++ b/src/quorum/agree.rs
@@ -11,6 +11,7 @@
 
 use super::VoterId;
 use super::book::{Book, Change, Entry};
+use super::council::Council;
 use super::mutant::{self, Mutant};
 use super::store::Store;
 
@@ -25,6 +26,8 @@
 pub struct Confirm {
     /// The leader.
     pub leader: VoterId,
+    /// The council that it leads.
+    pub council: u32,
     /// Its ballot.
     pub ballot: u32,
     /// The number of the question.
@@ -48,6 +51,8 @@
     Confirmed(VoterId, Confirm),
     /// The book has changed.
     Changed(Change),
+    /// This council agrees on nothing more: what it said of the next one.
+    Over(Vec<u8>),
 }
 
 /// Why agreement has stopped here: the library gave up on what it was told.
@@ -59,6 +64,9 @@
     paxos: OmniPaxos<Entry, Store>,
     store: Store,
     me: VoterId,
+    council: u32,
+    /// Entries of the agreed log before this council's.
+    before: u64,
     book: Book,
     applied: u64,
     told: u64,
@@ -70,12 +78,14 @@
 
 impl Agree {
     /// A voter with the state that its journal held, up to this frame.
-    pub fn new(me: VoterId, voters: usize, store: Store, number: u64) -> Result<Agree, Broken> {
-        let cluster_config = ClusterConfig {
-            configuration_id: 1,
-            nodes: (1..=voters as VoterId).collect(),
-            flexible_quorum: None,
-        };
+    pub fn new(
+        me: VoterId,
+        council: &Council,
+        before: u64,
+        store: Store,
+        number: u64,
+    ) -> Result<Agree, Broken> {
+        let cluster_config = of_council(council);
         let server_config = ServerConfig {
             pid: me,
             election_tick_timeout: 1,
@@ -88,7 +98,20 @@
         let paxos = catch_unwind(AssertUnwindSafe(|| config.build(kept)));
         let paxos = paxos.map_err(|_| Broken)?.map_err(|_| Broken)?;
         let (book, applied, told, waiting) = (Book::default(), 0, 0, VecDeque::new());
-        Ok(Agree { paxos, store, me, book, applied, told, waiting, handed: number, synced: number })
+        let council = council.number;
+        Ok(Agree {
+            paxos,
+            store,
+            me,
+            council,
+            before,
+            book,
+            applied,
+            told,
+            waiting,
+            handed: number,
+            synced: number,
+        })
     }
 
     /// The state that the agreed log makes, as far as it may be acted on.
@@ -98,7 +121,18 @@
 
     /// Entries of the agreed log that are in the book.
     pub fn applied(&self) -> u64 {
-        self.applied
+        self.before + self.applied
+    }
+
+    /// The number of the council whose agreement this is.
+    pub fn council(&self) -> u32 {
+        self.council
+    }
+
+    /// Proposes the next council. It may come to nothing. False if one was accepted already.
+    pub fn succeed(&mut self, next: &Council, told: Vec<u8>) -> Result<bool, Broken> {
+        let config = of_council(next);
+        self.guarded(|paxos| paxos.reconfigure(config, Some(told)).is_ok())
     }
 
     /// The voter that leads as far as this one knows, and its ballot.
@@ -141,7 +175,8 @@
 
     /// Another voter asks whether it is followed. Nobody is told no: whoever leads now will say so.
     pub fn asked(&mut self, confirm: Confirm) {
-        if self.leader() == Some((confirm.leader, confirm.ballot)) {
+        let followed = self.leader() == Some((confirm.leader, confirm.ballot));
+        if followed && confirm.council == self.council {
             self.waiting.push_back((self.handed, Waiting::Confirmed(confirm.leader, confirm)));
         }
     }
@@ -204,6 +239,10 @@
                         let change = self.book.apply(&entry);
                         out.push(Effect::Changed(change));
                     }
+                    LogEntry::StopSign(stop, true) => {
+                        self.applied += 1;
+                        out.push(Effect::Over(stop.metadata.unwrap_or_default()));
+                    }
                     LogEntry::Snapshotted(folded) => {
                         if folded.trimmed_idx as u64 > self.applied {
                             self.book = folded.snapshot.book();
@@ -227,3 +266,7 @@
         })
     }
 }
+
+fn of_council(council: &Council) -> ClusterConfig {
+    ClusterConfig { configuration_id: council.number, nodes: council.ids(), flexible_quorum: None }
+}
--- a/src/quorum/book.rs
+++ b/src/quorum/book.rs
@@ -212,6 +212,11 @@
 }
 
 impl Folded {
+    /// A book that is whole.
+    pub fn whole(book: Book) -> Folded {
+        Folded { book, rest: Vec::new() }
+    }
+
     /// The book that the whole of it makes.
     pub fn book(mut self) -> Book {
         self.fold();
--- a/src/quorum/founding.rs
+++ b/src/quorum/founding.rs
@@ -18,7 +18,9 @@
     pub voter: VoterId,
     /// The number that was drawn with its folder.
     pub identity: u64,
-    /// Who the voters are, if it knows.
+    /// The number of the last council that it knows.
+    pub council: u32,
+    /// Who the voters of it are, if it knows.
     pub roster: Option<Roster>,
     /// How far its journal reaches.
     pub written: u64,
@@ -38,6 +40,8 @@
         /// How far it reaches.
         written: u64,
     },
+    /// The voters have agreed on another in its place.
+    Replaced,
     /// The folder can't be used.
     Folder(String),
 }
@@ -51,6 +55,7 @@
             Barred::OlderCopy { known, written } => {
                 write!(f, "an older copy: it reaches to {written}, but {known} was heard of")
             }
+            Barred::Replaced => f.write_str("another votes in its place"),
             Barred::Folder(why) => f.write_str(why),
         }
     }
@@ -142,7 +147,7 @@
     use super::*;
 
     fn papers(voter: VoterId, identity: u64, roster: Option<&Roster>) -> Papers {
-        Papers { voter, identity, roster: roster.cloned(), written: 5, heard: 0 }
+        Papers { voter, identity, council: 1, roster: roster.cloned(), written: 5, heard: 0 }
     }
 
     #[test]
--- a/src/quorum/frame.rs
+++ b/src/quorum/frame.rs
@@ -6,13 +6,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::agree::{Confirm, Paxos};
+use super::council::{Offer, Tenure, Unreplaced};
 use super::founding::{Barred, Papers};
 use super::view::{Fleet, Status, View};
 use super::{Duty, Epoch, Name, Process, Reign, VoterId};
 use crate::api::Micros;
 
 /// The format of links, journal and book. What another speaks is refused by its number.
-pub const FORMAT: u16 = 1;
+pub const FORMAT: u16 = 2;
 /// How a connection begins.
 const MARK: &[u8; 4] = b"AsQ\x00";
 /// Longest frame. A snapshot of the book with some thousand members is far below.
@@ -48,6 +49,10 @@
     pub draining: bool,
     /// What it counts.
     pub counts: Counts,
+    /// The number of the last council that it knows.
+    pub council: u32,
+    /// It would vote.
+    pub offer: Option<Offer>,
 }
 
 /// The answer to a beat, by a leader that a majority has followed since the beat came in.
@@ -113,8 +118,10 @@
     pub cluster: String,
     /// Its process; none for a command that only asks.
     pub process: Option<Process>,
-    /// The voters by its file, in order.
+    /// The voters that found the cluster, by its file, in order.
     pub voters: Vec<Name>,
+    /// The number of the last council that it knows.
+    pub council: u32,
     /// What a voter says of its folder.
     pub papers: Option<Papers>,
 }
@@ -128,8 +135,8 @@
     Welcome(Process, Option<Papers>),
     /// The answer to it, or to anything that may not be.
     Refused(Refused),
-    /// Agreement.
-    Paxos(Box<Paxos>),
+    /// Agreement, among a council.
+    Paxos(u32, Box<Paxos>),
     /// A leader asks whether it is followed.
     Confirm(Confirm),
     /// It is.
@@ -150,6 +157,12 @@
     HandOn(Duty),
     /// Whether it will be; no with who leads.
     HandingOn(bool, Option<Name>),
+    /// A later council than the other knows.
+    Council(Box<Tenure>),
+    /// A command asks for a voter to be replaced, by whom.
+    Replace(Name, Name),
+    /// The number of the council that was proposed, or why none was.
+    Replacing(Result<u32, Unreplaced>),
 }
 
 /// Why bytes are no frame.
@@ -247,13 +260,14 @@
 pub fn repeated(frame: &Frame) -> bool {
     matches!(
         frame,
-        Frame::Paxos(_)
+        Frame::Paxos(..)
             | Frame::Confirm(_)
             | Frame::Confirmed(_)
             | Frame::Beat(..)
             | Frame::Told(_)
             | Frame::Nudge(_)
             | Frame::Written(_)
+            | Frame::Council(_)
     )
 }
 
@@ -264,8 +278,13 @@
 
     fn sample() -> Vec<u8> {
         let mut bytes = preface();
-        let hello =
-            Hello { cluster: "c".into(), process: None, voters: vec![Name("a".into())], papers: None };
+        let hello = Hello {
+            cluster: "c".into(),
+            process: None,
+            voters: vec![Name("a".into())],
+            council: 1,
+            papers: None,
+        };
         for frame in [Frame::Hello(hello), Frame::Show, Frame::HandOn(Duty("idle".into()))] {
             bytes.extend(encode(&frame).unwrap());
         }
--- a/src/quorum/holder.rs
+++ b/src/quorum/holder.rs
@@ -169,6 +169,7 @@
             listen: None,
             folder: None,
             voters: Vec::new(),
+            spares: Vec::new(),
             lease: Micros(1000),
             beat: Micros(200),
             election: Micros(200),
--- a/src/quorum/journal.rs
+++ b/src/quorum/journal.rs
@@ -10,12 +10,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::council::Tenure;
 use super::mutant::{self, Mutant};
 use super::store::{Op, State};
 use super::{Name, VoterId};
 
 /// How a journal begins; the digit is the format.
-pub const MAGIC: &[u8] = b"amberspindle quorum journal 1\n";
+pub const MAGIC: &[u8] = b"amberspindle quorum journal 2\n";
 /// Bytes of a frame before its payload.
 const HEAD: usize = 4 + 8 + 16;
 /// Longest payload: a snapshot of some thousand members is far below.
@@ -47,6 +48,8 @@
     /// Changes of the voter's state, which count together or not at all, and how far the others' journals were
     /// known to reach.
     Ops(Vec<Op>, BTreeMap<VoterId, u64>),
+    /// A council that was agreed on. What was noted of the one before it is over.
+    Council(Box<Tenure>),
 }
 
 /// Why a journal can't be used.
@@ -85,6 +88,8 @@
     pub identity: Identity,
     /// Who the voters are, if that was settled.
     pub roster: Option<Roster>,
+    /// The last council that it heard of, unless that is the first.
+    pub tenure: Option<Tenure>,
     /// The voter's state.
     pub state: State,
     /// How far the others' journals were known to reach.
@@ -158,13 +163,18 @@
         match (&mut read, frame) {
             (None, Frame::Identity(identity)) => {
                 let (state, heard) = (State::default(), BTreeMap::new());
-                read = Some(Read { identity, roster: None, state, heard, number, good: at });
+                read = Some(Read { identity, roster: None, tenure: None, state, heard, number, good: at });
             }
             (None, _) => return Err(Unusable::Format),
             (Some(read), frame) => {
                 match frame {
                     Frame::Identity(_) => return Err(Unusable::Format),
                     Frame::Roster(roster) => read.roster = Some(roster),
+                    Frame::Council(tenure) => {
+                        read.state = State::begun_with(tenure.base.clone());
+                        read.roster = Some(tenure.roster.clone());
+                        read.tenure = Some(*tenure);
+                    }
                     Frame::Ops(ops, heard) => {
                         ops.iter().for_each(|op| read.state.apply(op));
                         read.heard.extend(heard);
@@ -182,6 +192,7 @@
     number: u64,
     identity: &Identity,
     roster: Option<&Roster>,
+    tenure: Option<&Tenure>,
     ops: Vec<Op>,
     heard: &BTreeMap<VoterId, u64>,
 ) -> (Vec<u8>, u64) {
@@ -192,7 +203,9 @@
         bytes.extend(encode(number, frame));
     };
     push(&Frame::Identity(identity.clone()));
-    if let Some(roster) = roster {
+    if let Some(tenure) = tenure {
+        push(&Frame::Council(Box::new(tenure.clone())));
+    } else if let Some(roster) = roster {
         push(&Frame::Roster(roster.clone()));
     }
     push(&Frame::Ops(ops, heard.clone()));
@@ -206,7 +219,7 @@
 
     fn journal(frames: u64) -> (Vec<u8>, Vec<usize>) {
         let identity = Identity { cluster: "c".into(), name: Name("a".into()), number: 7 };
-        let (mut bytes, number) = rewritten(0, &identity, None, Vec::new(), &BTreeMap::new());
+        let (mut bytes, number) = rewritten(0, &identity, None, None, Vec::new(), &BTreeMap::new());
         let mut ends = vec![bytes.len()];
         for i in 1..=frames {
             let ops = vec![Op::Append(vec![Entry::Lead { voter: i, ballot: 1 }]), Op::Decided(i)];
@@ -255,7 +268,7 @@
         let (bytes, _) = journal(3);
         let before = read(&bytes).unwrap().unwrap();
         let ops = before.state.as_ops();
-        let (again, number) = rewritten(before.number, &before.identity, None, ops, &before.heard);
+        let (again, number) = rewritten(before.number, &before.identity, None, None, ops, &before.heard);
         let after = read(&again).unwrap().unwrap();
         assert_eq!((after.number, after.good), (number, again.len()));
         assert!(after.number > before.number);
--- a/src/quorum/ledger.rs
+++ b/src/quorum/ledger.rs
@@ -5,6 +5,7 @@
 
 use super::agree::Confirm;
 use super::book::{Book, Change, Ended, Entry};
+use super::council::{Council, Offer};
 use super::frame::{Beat, Counts, Told};
 use super::mutant::{self, Mutant};
 use super::view::{Fleet, Mate, View};
@@ -40,6 +41,7 @@
     beats: u32,
     wants: Vec<(Duty, u32)>,
     draining: bool,
+    offer: Option<Offer>,
     counts: Counts,
     progress: BTreeMap<Duty, (Epoch, u64, Boot)>,
 }
@@ -57,6 +59,8 @@
 pub struct Ledger {
     setup: Setup,
     me: VoterId,
+    council: u32,
+    majority: usize,
     ballot: u32,
     reign: Reign,
     began: Boot,
@@ -78,10 +82,20 @@
 
 impl Ledger {
     /// A leader whose reign has just come into the book.
-    pub fn new(setup: &Setup, me: VoterId, ballot: u32, reign: Reign, now: Boot, book: &Book) -> Ledger {
+    pub fn new(
+        setup: &Setup,
+        council: &Council,
+        me: VoterId,
+        ballot: u32,
+        reign: Reign,
+        now: Boot,
+        book: &Book,
+    ) -> Ledger {
         let mut ledger = Ledger {
             setup: setup.clone(),
             me,
+            council: council.number,
+            majority: council.majority(),
             ballot,
             reign,
             began: now,
@@ -130,6 +144,7 @@
             beats: 0,
             wants: Vec::new(),
             draining: false,
+            offer: None,
             counts: Counts::default(),
             progress: BTreeMap::new(),
         });
@@ -140,7 +155,7 @@
         (heard.at, heard.via) = (now, via);
         heard.beats = heard.beats.saturating_add(1);
         heard.wants.clone_from(&beat.wants);
-        (heard.draining, heard.counts) = (beat.draining, beat.counts);
+        (heard.draining, heard.counts, heard.offer) = (beat.draining, beat.counts, beat.offer);
         for (duty, epoch, count) in &beat.progress {
             let known = heard.progress.get(duty);
             if known.is_none_or(|(e, c, _)| (e, c) != (epoch, count)) {
@@ -169,17 +184,17 @@
         let mut beats = self.round.take().map(|r| r.beats).unwrap_or_default();
         beats.append(&mut self.waiting);
         self.rounds += 1;
-        let confirm = Confirm { leader: self.me, ballot: self.ballot, round: self.rounds };
+        let confirm =
+            Confirm { leader: self.me, council: self.council, ballot: self.ballot, round: self.rounds };
         self.round = Some(Round { confirm, begun: now, yes: BTreeSet::from([self.me]), beats });
         Some(confirm)
     }
 
     /// A voter says that it follows; the answers that a majority now vouches for.
     pub fn confirmed(&mut self, now: Boot, from: VoterId, confirm: Confirm, book: &Book) -> Vec<(Via, Told)> {
-        let majority = self.setup.voters.len() / 2 + 1;
         let Some(round) = self.round.as_mut().filter(|r| r.confirm == confirm) else { return Vec::new() };
         round.yes.insert(from);
-        if round.yes.len() < majority {
+        if round.yes.len() < self.majority {
             return Vec::new();
         }
         let beats = self.round.take().map(|r| r.beats).unwrap_or_default();
@@ -250,6 +265,12 @@
         self.until.get(duty).map(|(_, until)| until.since(now))
     }
 
+    /// What a process that would vote offers, if it was heard of just now.
+    pub fn offer(&self, now: Boot, name: &Name) -> Option<Offer> {
+        let fresh = Micros(self.setup.beat.0 * FRESH_BEATS);
+        self.heard.get(name).filter(|h| now.since(h.at) <= fresh && !h.draining)?.offer
+    }
+
     /// How long nothing was heard of a member.
     pub fn silent(&self, now: Boot, name: &Name) -> Option<Micros> {
         self.heard.get(name).map(|heard| now.since(heard.at))
--- a/src/quorum/ledger/tests.rs
+++ b/src/quorum/ledger/tests.rs
@@ -9,6 +9,7 @@
         listen: None,
         folder: None,
         voters: (1..=3).map(voter).collect(),
+        spares: Vec::new(),
         lease: Micros(1000),
         beat: Micros(200),
         election: Micros(300),
@@ -31,7 +32,8 @@
 fn beat(of: &Process, seq: u64) -> Beat {
     let (wants, gives, progress) = (vec![(duty(), 1)], Vec::new(), Vec::new());
     let (version, draining, counts) = (0, false, Counts::default());
-    Beat { process: of.clone(), seq, version, wants, gives, progress, draining, counts }
+    let (council, offer) = (1, None);
+    Beat { process: of.clone(), seq, version, wants, gives, progress, draining, counts, council, offer }
 }
 
 /// A book under the reign of voter 1 in which a process may hold the duty.
@@ -46,7 +48,7 @@
 }
 
 fn ledger(book: &Book, now: u64) -> Ledger {
-    Ledger::new(&setup(), 1, 1, book.reign, Boot(now), book)
+    Ledger::new(&setup(), &Council::first(&setup()), 1, 1, book.reign, Boot(now), book)
 }
 
 /// One beat, vouched for by a majority.
@@ -211,7 +213,7 @@
         ledger.beat(Boot(400), Via::Own, beat(&process(&format!("m{i}"), 1), 1), &book);
     }
     assert_ne!(ledger.choose(Boot(400), &duty(), &book).unwrap(), favourite);
-    let mut alone = Ledger::new(&setup(), 1, 1, book.reign, Boot(0), &book);
+    let mut alone = Ledger::new(&setup(), &Council::first(&setup()), 1, 1, book.reign, Boot(0), &book);
     alone.beat(Boot(400), Via::Own, beat(&favourite, 1), &book);
     assert_eq!(alone.choose(Boot(400), &duty(), &book), Some(favourite), "but not for good");
 }
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -2,9 +2,11 @@
 //! outputs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::agree::{Agree, Broken, Confirm, Effect};
 use super::book::Change;
+use super::council::{Council, NOBODY, Tenure};
 use super::founding::{Barred, Founding, Papers, Step};
 use super::frame::{Beat, Counts, Frame, Hello, NoFrame, Refused, Told};
 use super::holder::{Holder, News};
@@ -17,6 +19,8 @@
 use super::{Boot, Duty, Epoch, IDLE, Incarnation, Name, Process, RECORD, Setup, VoterId};
 use crate::api::Micros;
 
+mod succession;
+
 /// A journal that is longer than this, and than four times what it began with, is written anew.
 const LONG: usize = 1024 * 1024;
 /// Processes whose beats a voter passes on: their answers find the way back.
@@ -62,6 +66,10 @@
     Reply(u64, Frame),
     /// A connection that was accepted ends.
     Close(u64, &'static str),
+    /// A voter is to be dialled at an address, from now on.
+    Dial(VoterId, SocketAddr),
+    /// A voter is no longer to be dialled.
+    Leave(VoterId),
     /// The link to a voter is to be dialled anew.
     Redial(VoterId, &'static str),
     /// Bytes are added to the journal, and it is synced; then [`Input::Written`].
@@ -81,7 +89,9 @@
     Founded,
     /// This voter votes.
     Votes,
-    /// This voter may not vote, for good.
+    /// A council votes from now on, by its number and names.
+    Council(u32, Vec<Name>),
+    /// This voter may not vote.
     Barred(Barred),
     /// A voter leads, in a reign.
     Leads(Name, u64),
@@ -128,14 +138,19 @@
     look_at: Boot,
     /// Where beats that were passed on came from.
     passed: BTreeMap<Process, Via>,
-    /// A roster that waits for the disk.
-    settling: Option<(u64, journal::Roster)>,
+    /// What waits for the disk before this voter may vote: a roster, or the council that was written last.
+    settling: Option<(u64, Option<journal::Roster>)>,
+    /// The last council that was agreed on, unless that is the first.
+    tenure: Option<Tenure>,
+    /// What the others were told last of how far this journal reaches.
+    told_written: u64,
 }
 
 /// One process's part in a quorum.
 pub struct Machine {
     setup: Setup,
     process: Process,
+    council: Council,
     seat: Option<Seat>,
     barred: Option<Barred>,
     holder: Holder,
@@ -167,15 +182,18 @@
         out: &mut Vec<Out>,
     ) -> Machine {
         let process = Process { name: setup.name.clone(), incarnation };
+        let council = Council::first(setup);
+        let first = incarnation.0 as usize % council.voters.len().max(1);
         let mut machine = Machine {
             setup: setup.clone(),
             process,
+            target: council.voters.get(first).map_or(NOBODY, |v| v.id),
+            council,
             seat: None,
             barred: None,
             holder: Holder::default(),
             callers: BTreeMap::new(),
             up: BTreeMap::new(),
-            target: setup.voter().unwrap_or(1 + incarnation.0 % setup.voters.len().max(1) as u64),
             seq: 0,
             answered: 0,
             asked_since: now,
@@ -190,16 +208,17 @@
             idle_at: now,
             idle_acts: 0,
         };
-        match (setup.voter(), journal) {
-            (Some(me), Some(Ok(read))) => machine.sit(me, read, now, out),
-            (Some(_), Some(Err(why))) => machine.bar(why, out),
-            _ => {}
+        match journal {
+            Some(Ok(read)) => machine.sit(read, now, out),
+            Some(Err(why)) => machine.bar(why, out),
+            None => {}
         }
+        machine.dial(&[], out);
         machine
     }
 
-    /// Takes this voter's seat with what its journal held.
-    fn sit(&mut self, me: VoterId, read: Option<Read>, now: Boot, out: &mut Vec<Out>) {
+    /// Takes this voter's seat, or a spare's, with what its journal held.
+    fn sit(&mut self, read: Option<Read>, now: Boot, out: &mut Vec<Out>) {
         let fresh = read.is_none();
         let read = read.unwrap_or_else(|| Read {
             identity: Identity {
@@ -209,6 +228,7 @@
                 number: self.process.incarnation.0,
             },
             roster: None,
+            tenure: None,
             state: Default::default(),
             heard: BTreeMap::new(),
             number: 0,
@@ -219,7 +239,15 @@
             let other = journal::Unusable::Other(read.identity.clone());
             return self.bar(Barred::Folder(other.to_string()), out);
         }
-        let founding = Founding::new(me, read.identity.number, self.setup.voters.len(), read.roster.clone());
+        let me = match &read.tenure {
+            Some(tenure) => {
+                self.council = tenure.council.clone();
+                tenure.seat(&self.setup.name, read.identity.number)
+            }
+            None => self.council.id_of(&self.setup.name),
+        };
+        let voters = self.council.voters.len();
+        let founding = Founding::new(me, read.identity.number, voters, read.roster.clone());
         let mut seat = Seat {
             me,
             identity: read.identity,
@@ -237,15 +265,28 @@
             look_at: now,
             passed: BTreeMap::new(),
             settling: None,
+            tenure: read.tenure,
+            told_written: 0,
         };
         if fresh {
             seat.rewrite(out);
         }
         self.seat = Some(seat);
+        if me != NOBODY {
+            self.target = me;
+        } else if self.council.id_of(&self.setup.name) != NOBODY {
+            self.bar(Barred::OtherFolder, out);
+        } else if self.setup.founds() {
+            self.bar(Barred::Replaced, out);
+        }
     }
 
     fn bar(&mut self, why: Barred, out: &mut Vec<Out>) {
-        self.seat = None;
+        match (&why, &mut self.seat) {
+            // Its folder is good: it may take a vote, if it is given one.
+            (Barred::OtherFolder | Barred::Replaced, Some(seat)) => seat.stand_down(),
+            _ => self.seat = None,
+        }
         self.barred = Some(why.clone());
         out.push(Out::Tell(Event::Barred(why)));
         // Those that were welcomed as to a voter find another.
@@ -253,7 +294,7 @@
         for conn in callers {
             out.push(Out::Close(conn, "no-vote"));
         }
-        if self.setup.voters.len() > 1 && self.setup.voter() == Some(self.target) {
+        if self.council.id_of(&self.setup.name) == self.target {
             self.rotate();
         }
     }
@@ -329,7 +370,8 @@
             cluster: self.setup.cluster.clone(),
             process: Some(self.process.clone()),
             voters: self.setup.voter_names(),
-            papers: self.seat.as_ref().map(|seat| seat.papers(to)),
+            council: self.council.number,
+            papers: self.seat.as_ref().map(|seat| seat.papers(self.council.number, to)),
         }
     }
 
@@ -367,9 +409,12 @@
                 if !own && !for_another {
                     return self.refuse(conn, Refused::Garbled, out);
                 }
+                if own {
+                    self.inform(conn, beat.council, out);
+                }
                 self.beaten(now, Via::Conn(conn), beat, passed, out);
             }
-            (Frame::Paxos(message), Some(voter)) => {
+            (Frame::Paxos(council, message), Some(voter)) if council == self.council.number => {
                 let me = self.seat.as_ref().map(|s| s.me);
                 if message.get_sender() != voter || Some(message.get_receiver()) != me {
                     return self.refuse(conn, Refused::Garbled, out);
@@ -389,7 +434,13 @@
                 }
             }
             // A voter whose papers are not borne out yet says such things too: they come again.
-            (Frame::Paxos(_) | Frame::Confirm(_) | Frame::Confirmed(_) | Frame::Written(_), None) => {}
+            (Frame::Paxos(council, _), _) => self.inform(conn, council, out),
+            (Frame::Confirm(_) | Frame::Confirmed(_) | Frame::Written(_), None) => {}
+            (Frame::Council(tenure), _) => self.succeed(*tenure, out),
+            (Frame::Replace(gone, new), _) => {
+                let done = self.replace(now, &gone, &new, out);
+                out.push(Out::Reply(conn, Frame::Replacing(done)));
+            }
             _ => self.refuse(conn, Refused::Garbled, out),
         }
     }
@@ -403,14 +454,18 @@
             return self.refuse(conn, Refused::Cluster(self.setup.cluster.clone()), out);
         }
         let Some(process) = hello.process else { return };
-        if !self.setup.voters.iter().map(|v| &v.name).eq(hello.voters.iter()) {
+        // The files count until the voters have agreed on others.
+        let first = self.council.number == 1 && hello.council == 1;
+        if first && !self.setup.voters.iter().map(|v| &v.name).eq(hello.voters.iter()) {
             return self.refuse(conn, Refused::Voters, out);
         }
         let Some(seat) = &mut self.seat else {
             return self.refuse(conn, Refused::NoVoter, out);
         };
-        let voter = self.setup.voter_id(&process.name);
-        if let (Some(voter), Some(papers)) = (voter, &hello.papers) {
+        let voter = self.council.id_of(&process.name);
+        // Papers of another council, or of a folder that has no vote, count for nothing here.
+        let claims = |p: &&Papers| p.council == self.council.number && p.voter != NOBODY;
+        if let Some(papers) = hello.papers.as_ref().filter(claims) {
             let later = |c: &Caller| {
                 c.process
                     .as_ref()
@@ -421,23 +476,20 @@
             }
             let heard = seat.heard.get(&voter).copied().unwrap_or(0);
             let lost = seat.founding.roster().is_some() && !seat.founding.is(voter, papers.identity);
+            // Whoever lost its folder learns of it from the roster.
             if !lost && papers.written < heard && !mutant::on(Mutant::ForgottenVote) {
                 let why = Barred::OlderCopy { known: heard, written: papers.written };
                 return self.refuse(conn, Refused::Barred(why), out);
             }
-            // An empty folder of a founded cluster is another folder. Before the founding it is the first.
-            if lost {
-                return self.refuse(conn, Refused::Barred(Barred::OtherFolder), out);
-            }
         }
-        let papers = voter.map(|voter| seat.papers(voter));
+        let papers = hello.papers.is_some().then(|| seat.papers(self.council.number, voter));
         // An earlier run of the same voter speaks for it no longer.
         let earlier =
             |c: &Caller| c.process.as_ref().is_some_and(|p| p.name == process.name && *p != process);
         let earlier: Vec<u64> = self
             .callers
             .iter()
-            .filter(|(of, c)| voter.is_some() && **of != conn && earlier(c))
+            .filter(|(of, c)| voter != NOBODY && **of != conn && earlier(c))
             .map(|(of, _)| *of)
             .collect();
         for earlier in earlier {
@@ -446,16 +498,17 @@
         out.push(Out::Reply(conn, Frame::Welcome(self.process.clone(), papers)));
         if let Some(caller) = self.callers.get_mut(&conn) {
             caller.papers = hello.papers;
-            caller.voter = voter;
         }
         self.verify(conn);
+        self.inform(conn, hello.council, out);
     }
 
     /// Whether the caller counts as a voter: its papers must be borne out by the roster.
     fn verify(&mut self, conn: u64) {
         let Some(seat) = &self.seat else { return };
         if let Some(caller) = self.callers.get_mut(&conn) {
-            let good = |p: &Papers| seat.founding.is(p.voter, p.identity);
+            let number = self.council.number;
+            let good = |p: &Papers| p.council == number && seat.founding.is(p.voter, p.identity);
             caller.voter = caller.papers.as_ref().filter(|p| good(p)).map(|p| p.voter);
         }
     }
@@ -464,16 +517,17 @@
     fn answer(&mut self, now: Boot, voter: VoterId, frame: Frame, out: &mut Vec<Out>) {
         match frame {
             Frame::Welcome(process, papers) => {
-                if Some(&process.name) != self.setup.voter_name(voter) {
+                if self.council.voter(voter).is_none_or(|v| v.name != process.name) {
                     return out.push(Out::Redial(voter, "other-process"));
                 }
                 self.up.insert(voter, true);
                 if let Some(papers) = papers {
+                    self.tell_behind(voter, papers.council, out);
                     self.met(now, papers, out);
                 }
             }
             Frame::Refused(why) => {
-                let who = self.setup.voter_name(voter).map_or(String::new(), |n| n.0.clone());
+                let who = self.council.voter(voter).map_or(String::new(), |v| v.name.0.clone());
                 out.push(Out::Tell(Event::Refused(format!("by {who}"), why.clone())));
                 if let Refused::Barred(why) = why
                     && self.seat.is_some()
@@ -484,6 +538,7 @@
             }
             Frame::Told(told) => self.told(now, told, out),
             Frame::Nudge(process) => self.nudged(now, process, out),
+            Frame::Council(tenure) => self.succeed(*tenure, out),
             _ => out.push(Out::Redial(voter, "garbled")),
         }
     }
@@ -492,6 +547,9 @@
     fn met(&mut self, now: Boot, papers: Papers, out: &mut Vec<Out>) {
         let Some(seat) = &mut self.seat else { return };
         let voter = papers.voter;
+        if seat.me == NOBODY || voter == NOBODY || papers.council != self.council.number {
+            return;
+        }
         if seat.agree.is_some() {
             if seat.founding.is(voter, papers.identity) {
                 self.agreeing(out, |agree| agree.reconnected(voter));
@@ -504,11 +562,16 @@
             Step::Settle(roster) => {
                 if seat.settling.is_none() {
                     let number = seat.write(&journal::Frame::Roster(roster.clone()), out);
-                    seat.settling = Some((number, roster));
+                    seat.settling = Some((number, Some(roster)));
                 }
             }
             Step::Vote => {
-                match Agree::new(seat.me, self.setup.voters.len(), seat.store.clone(), seat.number) {
+                // A council that is not on disk yet has no voter here.
+                if seat.settling.is_some() {
+                    return;
+                }
+                let before = seat.tenure.as_ref().map_or(0, |t| t.entries.saturating_sub(1));
+                match Agree::new(seat.me, &self.council, before, seat.store.clone(), seat.number) {
                     Ok(agree) => {
                         seat.agree = Some(agree);
                         seat.look_at = now;
@@ -528,15 +591,17 @@
             agree.synced(number);
         }
         if let Some((_, roster)) = seat.settling.take_if(|(due, _)| *due <= number) {
-            seat.founding.settled(roster);
-            out.push(Out::Tell(Event::Founded));
+            if let Some(roster) = roster {
+                seat.founding.settled(roster);
+                out.push(Out::Tell(Event::Founded));
+            }
             let conns: Vec<u64> = self.callers.keys().copied().collect();
             for conn in conns {
                 self.verify(conn);
             }
             // Each shows its papers anew, now with the roster.
-            for voter in self.setup.others() {
-                out.push(Out::Redial(voter, "founded"));
+            for voter in self.council.others(&self.setup.name) {
+                out.push(Out::Redial(voter, "new-papers"));
             }
         }
     }
@@ -573,9 +638,13 @@
             if ticked.is_err() {
                 return self.bar(Barred::Folder("agreement gave up".into()), out);
             }
+            // Whoever misses it hears it with the papers of the next link.
             let written = seat.on_disk;
-            for voter in self.setup.others() {
-                out.push(Out::Send(voter, Frame::Written(written)));
+            if seat.told_written != written {
+                seat.told_written = written;
+                for voter in self.council.others(&self.setup.name) {
+                    out.push(Out::Send(voter, Frame::Written(written)));
+                }
             }
         }
         self.lead(now, out);
@@ -591,9 +660,12 @@
             }
             for effect in effects {
                 match effect {
-                    Effect::Send(to, message) => out.push(Out::Send(to, Frame::Paxos(message))),
+                    Effect::Send(to, message) => {
+                        out.push(Out::Send(to, Frame::Paxos(self.council.number, message)));
+                    }
                     Effect::Confirmed(to, confirm) => out.push(Out::Send(to, Frame::Confirmed(confirm))),
                     Effect::Changed(change) => self.changed(now, change, out),
+                    Effect::Over(told) => self.over(&told, out),
                 }
             }
             self.lead(now, out);
@@ -605,10 +677,11 @@
         let Some(seat) = &mut self.seat else { return };
         let Some(agree) = &seat.agree else { return };
         if let Change::Led(voter, ballot, reign) = &change {
-            seat.ledger = (*voter == seat.me && agree.leads() == Some(*ballot))
-                .then(|| Ledger::new(&self.setup, seat.me, *ballot, *reign, now, agree.book()));
+            seat.ledger = (*voter == seat.me && agree.leads() == Some(*ballot)).then(|| {
+                Ledger::new(&self.setup, &self.council, seat.me, *ballot, *reign, now, agree.book())
+            });
             self.leader = Some(*voter);
-            let name = self.setup.voter_name(*voter).cloned().unwrap_or_default();
+            let name = self.council.voter(*voter).map(|v| v.name.clone()).unwrap_or_default();
             out.push(Out::Tell(Event::Leads(name, reign.0)));
         }
         let mut nudge = None;
@@ -661,7 +734,7 @@
         let Some(ledger) = &mut seat.ledger else { return };
         let entries = ledger.decide(now, agree.book());
         if let Some(confirm) = ledger.ask(now) {
-            for voter in self.setup.others() {
+            for voter in self.council.others(&self.setup.name) {
                 out.push(Out::Send(voter, Frame::Confirm(confirm)));
             }
         }
@@ -674,7 +747,7 @@
     fn confirmed(&mut self, now: Boot, voter: VoterId, confirm: Confirm, out: &mut Vec<Out>) {
         let Some(seat) = &mut self.seat else { return };
         let (Some(agree), Some(ledger)) = (&seat.agree, &mut seat.ledger) else { return };
-        if agree.leads() != Some(confirm.ballot) {
+        if agree.leads() != Some(confirm.ballot) || agree.council() != confirm.council {
             return;
         }
         for (via, told) in ledger.confirmed(now, voter, confirm, agree.book()) {
@@ -712,7 +785,12 @@
     // ---- The member.
 
     fn rotate(&mut self) {
-        self.target = self.target % self.setup.voters.len().max(1) as VoterId + 1;
+        self.target = self.council.after(self.target);
+        // One that bears this process's name is this process, and no way to the others unless it votes.
+        let own = self.council.id_of(&self.setup.name);
+        if self.target == own && self.seat.as_ref().is_none_or(|s| s.me != own) {
+            self.target = self.council.after(own);
+        }
     }
 
     fn beat(&mut self, now: Boot, out: &mut Vec<Out>) {
@@ -740,6 +818,8 @@
             progress: progress.collect(),
             draining: self.draining,
             counts: self.counts,
+            council: self.council.number,
+            offer: self.offer(),
         };
         if Some(self.target) == self.seat.as_ref().map(|s| s.me) {
             self.beaten(now, Via::Own, beat, false, out);
@@ -821,7 +901,7 @@
     fn leader_name(&self) -> Option<Name> {
         let agreed = self.seat.as_ref().and_then(|s| s.agree.as_ref()).and_then(Agree::leader);
         let leader = agreed.map(|(leader, _)| leader).or(self.leader)?;
-        self.setup.voter_name(leader).cloned()
+        self.council.voter(leader).map(|v| v.name.clone())
     }
 
     /// How things stand, as far as this process knows.
@@ -829,9 +909,9 @@
         let seat = self.seat.as_ref();
         let book = seat.and_then(|s| s.agree.as_ref()).map(Agree::book);
         let ledger = seat.and_then(|s| s.ledger.as_ref());
-        let voter = |(i, v): (usize, &super::Voter)| VoterStatus {
+        let voter = |v: &super::council::Councillor| VoterStatus {
             name: v.name.clone(),
-            linked: v.name == self.setup.name || self.up.get(&(i as VoterId + 1)) == Some(&true),
+            linked: v.name == self.setup.name || self.up.get(&v.id) == Some(&true),
         };
         let members = book.map(|b| b.members.values().cloned().collect::<Vec<_>>()).unwrap_or_default();
         let member = |(process, since): (Process, u64)| MemberStatus {
@@ -849,7 +929,8 @@
             version: book.map_or(self.view.version, |b| b.version),
             entries: seat.and_then(|s| s.agree.as_ref()).map_or(0, Agree::applied),
             barred: self.barred.as_ref().map(Barred::to_string),
-            voters: self.setup.voters.iter().enumerate().map(voter).collect(),
+            council: self.council.number,
+            voters: self.council.voters.iter().map(voter).collect(),
             members: members.into_iter().map(member).collect(),
             duties: duties
                 .into_iter()
@@ -866,9 +947,10 @@
 }
 
 impl Seat {
-    fn papers(&self, to: VoterId) -> Papers {
+    fn papers(&self, council: u32, to: VoterId) -> Papers {
         Papers {
             voter: self.me,
+            council,
             identity: self.identity.number,
             roster: self.founding.roster().cloned(),
             written: self.on_disk,
@@ -876,6 +958,11 @@
         }
     }
 
+    /// Votes no more.
+    fn stand_down(&mut self) {
+        (self.me, self.agree, self.ledger, self.proposed) = (NOBODY, None, None, None);
+    }
+
     /// Adds a frame to the journal; gives its number.
     fn write(&mut self, frame: &journal::Frame, out: &mut Vec<Out>) -> u64 {
         self.number += 1;
@@ -889,7 +976,8 @@
     fn rewrite(&mut self, out: &mut Vec<Out>) {
         let roster = self.founding.roster();
         let ops = self.store.whole();
-        let (bytes, number) = journal::rewritten(self.number, &self.identity, roster, ops, &self.heard);
+        let (bytes, number) =
+            journal::rewritten(self.number, &self.identity, roster, self.tenure.as_ref(), ops, &self.heard);
         (self.number, self.length, self.base) = (number, bytes.len(), bytes.len());
         self.heard_kept.clone_from(&self.heard);
         out.push(Out::Rewrite(number, bytes));
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -12,6 +12,7 @@
 pub mod agree;
 pub mod backoff;
 pub mod book;
+pub mod council;
 pub mod founding;
 pub mod frame;
 pub mod holder;
@@ -92,7 +93,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Reign(pub u64);
 
-/// A voter's number in the agreement: its place in the list of voters, from 1.
+/// A voter's number in the agreement: at first its place in the list of voters, from 1; a new one gets the next.
 pub type VoterId = u64;
 
 /// The duty that writes the fleet's record.
@@ -122,8 +123,10 @@
     pub listen: Option<SocketAddr>,
     /// Where a voter keeps its vote and log.
     pub folder: Option<PathBuf>,
-    /// The voters.
+    /// The voters that found the cluster.
     pub voters: Vec<Voter>,
+    /// Processes that may become voters.
+    pub spares: Vec<Voter>,
     /// How long a lease lasts.
     pub lease: Micros,
     /// Time between a member's beats.
@@ -143,28 +146,17 @@
 }
 
 impl Setup {
-    /// This process's number among the voters, if it is one.
-    pub fn voter(&self) -> Option<VoterId> {
-        self.voters.iter().position(|v| v.name == self.name).map(|i| i as VoterId + 1)
+    /// Whether this process is among the voters that found the cluster.
+    pub fn founds(&self) -> bool {
+        self.voters.iter().any(|v| v.name == self.name)
     }
 
-    /// The name of a voter.
-    pub fn voter_name(&self, id: VoterId) -> Option<&Name> {
-        Some(&self.voters.get(usize::try_from(id).ok()?.checked_sub(1)?)?.name)
+    /// Where a process is reached, as this file says.
+    pub fn address_of(&self, name: &Name) -> Option<SocketAddr> {
+        self.voters.iter().chain(&self.spares).find(|v| v.name == *name).map(|v| v.address)
     }
 
-    /// The number of a voter by its name.
-    pub fn voter_id(&self, name: &Name) -> Option<VoterId> {
-        self.voters.iter().position(|v| v.name == *name).map(|i| i as VoterId + 1)
-    }
-
-    /// The numbers of all voters but this process.
-    pub fn others(&self) -> impl Iterator<Item = VoterId> + use<> {
-        let own = self.voter();
-        (1..=self.voters.len() as VoterId).filter(move |voter| Some(*voter) != own)
-    }
-
-    /// The names of the voters, in order.
+    /// The names of the voters that found the cluster, in order.
     pub fn voter_names(&self) -> Vec<Name> {
         self.voters.iter().map(|v| v.name.clone()).collect()
     }
--- a/src/quorum/store.rs
+++ b/src/quorum/store.rs
@@ -8,7 +8,7 @@
 use omnipaxos::storage::{StopSign, Storage, StorageOp, StorageResult};
 use serde::{Deserialize, Serialize};
 
-use super::book::{Entry, Folded};
+use super::book::{Book, Entry, Folded};
 
 /// One change of a voter's state.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -48,6 +48,13 @@
 }
 
 impl State {
+    /// The state that all voters of a later council begin with: a log whose one entry, folded already, is the book
+    /// that the council before it left.
+    pub fn begun_with(base: Book) -> State {
+        let snapshot = Some(Folded::whole(base));
+        State { first: 1, decided: 1, compacted: 1, snapshot, ..State::default() }
+    }
+
     /// Does one change.
     pub fn apply(&mut self, op: &Op) {
         match op {
--- a/src/quorum/view.rs
+++ b/src/quorum/view.rs
@@ -96,6 +96,8 @@
     pub entries: u64,
     /// Why the process that answers may not vote, if so.
     pub barred: Option<String>,
+    /// The number of the council that votes; it grows with each change of voters.
+    pub council: u32,
     /// The voters.
     pub voters: Vec<VoterStatus>,
     /// The members.
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -281,10 +281,11 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub folder: Option<String>,
-    /// The voters, the same in all files and in the same order: 3, 5 or 7.
+    /// The voters, the same in all files and in the same order: 3, 5 or 7; and spares, which may replace them.
     #[garde(dive, custom(|voters: &Vec<VoterRecord>, _: &()| {
-        if matches!(voters.len(), 3 | 5 | 7) { return Ok(()) }
-        Err(garde::Error::new(format!("{} voters, but 3, 5 or 7 are needed", voters.len())))
+        let found = voters.iter().filter(|voter| !voter.spare).count();
+        if matches!(found, 3 | 5 | 7) { return Ok(()) }
+        Err(garde::Error::new(format!("{found} voters, but 3, 5 or 7 are needed")))
     }))]
     #[serde(default)]
     pub voter: Vec<VoterRecord>,
@@ -335,6 +336,10 @@
     /// Where the others reach it.
     #[garde(skip)]
     pub address: Address,
+    /// It does not vote at first, but may replace a voter.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub spare: bool,
 }
 
 /// `[[quorum.duty]]`.
@@ -382,9 +387,15 @@
         }
         let votes = self.voter.iter().any(|voter| voter.name == name);
         match (votes, &self.folder, &self.listen) {
-            (true, None, _) => push("quorum.folder".into(), "required for a voter: its vote must survive it"),
-            (false, Some(_), _) => push("quorum.folder".into(), "only for voters, and this process is none"),
-            (false, _, Some(_)) => push("quorum.listen".into(), "only for voters, and this process is none"),
+            (true, None, _) => {
+                push("quorum.folder".into(), "required for a voter or spare: its vote must survive it")
+            }
+            (false, Some(_), _) => {
+                push("quorum.folder".into(), "only for voters and spares, and this process is none")
+            }
+            (false, _, Some(_)) => {
+                push("quorum.listen".into(), "only for voters and spares, and this process is none")
+            }
             _ => {}
         }
         let lease = self.lease_ms.unwrap_or(2_000);
--- a/trials/src/scenario.rs
+++ b/trials/src/scenario.rs
@@ -15,6 +15,9 @@
     /// How many of them vote.
     #[serde(default = "three")]
     pub voters: usize,
+    /// Processes beyond the voters that may replace one, by number from 1.
+    #[serde(default)]
+    pub spares: Vec<usize>,
     /// Length of a lease in milliseconds.
     #[serde(default = "lease")]
     pub lease_ms: u64,
@@ -64,7 +67,7 @@
 }
 
 /// A step. `who` names a process: `broker-3`, `holder:record`, `leader`, `other-voter` (a voter that neither leads
-/// nor holds the record), `all`, `voters`, or a name that an earlier step gave by `as`.
+/// nor holds the record), `all`, `voters` (those that vote now), or a name that an earlier step gave by `as`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, tag = "do", rename_all = "kebab-case")]
 pub enum Step {
@@ -206,6 +209,13 @@
         /// To whom.
         who: String,
     },
+    /// Has a voter replaced by the command, and waits until the new voters have a leader.
+    Replace {
+        /// Which goes.
+        voter: String,
+        /// Who votes in its place.
+        by: String,
+    },
     /// Has a duty handed on by the command.
     HandOn {
         /// Which.
@@ -235,6 +245,7 @@
     "disk-full",
     "flapping",
     "folder-lost",
+    "folder-lost-replaced",
     "folder-old",
     "folder-spoilt",
     "hand-on",
@@ -247,6 +258,7 @@
     "holder-stopped-in-the-queue",
     "holder-terminated",
     "late-answers",
+    "leader-replaced",
     "leader-cut-with-holder",
     "leader-is-holder",
     "leader-killed-holder-cut",
@@ -256,6 +268,8 @@
     "syncs-lost",
     "thirty-want-one",
     "twin",
+    "voter-replaced-dead",
+    "voters-replaced",
 );
 
 /// A scenario by its name.
