Tell the module the agreed number of fronts and its place, where the file asks for it

Need: Instances and SlotNo are figures that somebody typed; a fleet that grows or shrinks paces by the wrong ones.

Change: quorum::fronts follows the agreed view: who came counts at once, who went after settle_ms, and the last word stands while there is no quorum. [quorum] fronts = true turns it on. The module hears it as an event, and one that takes the place of another hears it again.

Result: on the virtual clock five members hear 5 and their places, four after one has been gone for the time set, and still four with no majority left.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -57,6 +57,8 @@
         /// The entries.
         servers: Vec<ServerEntry>,
     },
+    /// How many fronts there are, and which of them this one is.
+    Fronts(u32, u32),
     /// A client asks for a session, with its description.
     Request(Request, Description),
     /// A session that plays at a server already.
@@ -196,6 +198,8 @@
     room: usize,
     /// How long a client stays away that there is no room for.
     full_wait: Micros,
+    /// What a module that takes the place of another is told again.
+    fronts: Option<(u32, u32)>,
 }
 
 impl Broker {
@@ -221,6 +225,7 @@
             offers: 0,
             room: usize::MAX,
             full_wait: Micros(0),
+            fronts: None,
         }
     }
 
@@ -324,6 +329,10 @@
                     self.over(now, id, server, Status::Reset, Load::default(), out);
                 }
             }
+            Input::Fronts(count, place) => {
+                self.fronts = Some((count, place));
+                self.pending.push_back(Event::Fronts { count, place });
+            }
             Input::Tick => {}
         }
         self.run(now, out);
@@ -358,6 +367,7 @@
         self.seed = self.seed.wrapping_add(1);
         self.module = (self.make)(self.seed);
         self.pending.clear();
+        self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
         self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Module(_)));
         let servers = self.guard.list();
         self.pending.push_back(Event::Members { kind: ListKind::Complete, servers });
--- a/src/module/api.rs
+++ b/src/module/api.rs
@@ -521,6 +521,13 @@
     Gone(SessionId),
     /// A timer has run down.
     Timer(u64),
+    /// How many fronts there are, and which of them this one is: [`Settings::fronts`] and [`Settings::me`] anew.
+    Fronts {
+        /// How many; not 0.
+        count: u32,
+        /// Its number, from 0.
+        place: u32,
+    },
     /// A probe ended.
     Probed {
         /// The server.
--- a/src/module/brain.rs
+++ b/src/module/brain.rs
@@ -137,6 +137,7 @@
             }
             Event::Gone(id) => self.gone(id),
             Event::Timer(_) => self.look(out),
+            Event::Fronts { count, place } => (self.set.fronts, self.set.me) = (count.max(1), place),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
         if !self.book.ticking && !self.book.sessions.is_empty() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,6 +27,7 @@
 use crate::platform::links::{Closed, Command, ConnId};
 use crate::platform::longest_deadline;
 use crate::quorum::Incarnation;
+use crate::quorum::fronts::Fronts;
 use crate::records::Findings;
 use crate::roster::{News, Plausible, Roster, Source};
 use outbox::{Bell, Outbox};
@@ -577,7 +578,13 @@
     let stopping = Rc::new(Bell::default());
     let incarnation = Incarnation(unix().0);
     let setup = config.quorum.as_ref();
-    let quorum = setup.map(|setup| quorum::start(&shared.executor, setup, incarnation)).transpose()?;
+    let told = shared.clone();
+    let paced = move |fronts: Fronts| {
+        step(&told, |node, now, out| node.fronts(now, fronts.count, fronts.place, out));
+    };
+    let quorum = setup
+        .map(|setup| quorum::start(&shared.executor, setup, incarnation, Box::new(paced)))
+        .transpose()?;
     if let Some(quorum) = &quorum {
         shared.executor.spawn(count(shared.clone(), quorum.clone())).detach();
     }
--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -25,6 +25,7 @@
 use crate::quorum::council::Unreplaced;
 use crate::quorum::founding::Barred;
 use crate::quorum::frame::{self, Counts, Frame, Hello, Reader};
+use crate::quorum::fronts::Fronts;
 use crate::quorum::journal::{self, Unusable};
 use crate::quorum::machine::Event;
 #[cfg(feature = "trials")]
@@ -101,6 +102,8 @@
     record: Option<async_channel::Sender<Job>>,
     bell: Bell,
     executor: Rc<LocalExecutor<'static>>,
+    /// Tells the module how many fronts there are.
+    fronts: Box<dyn Fn(Fronts)>,
 }
 
 fn tell(event: &Event) {
@@ -190,6 +193,7 @@
     executor: &Rc<LocalExecutor<'static>>,
     setup: &Setup,
     incarnation: Incarnation,
+    fronts: Box<dyn Fn(Fronts)>,
 ) -> io::Result<Rc<Quorum>> {
     #[cfg(feature = "trials")]
     mutant::choose(mutant::of_environment());
@@ -234,6 +238,7 @@
         record,
         bell: Bell::default(),
         executor: executor.clone(),
+        fronts,
     });
     if let Some(address) = setup.listen {
         let listener = Async::<TcpListener>::bind(address).map_err(|e| {
@@ -297,6 +302,10 @@
                         let _ = record.try_send(job);
                     }
                 }
+                Out::Fronts(fronts) => {
+                    info!(event = "quorum.fronts", count = fronts.count, place = fronts.place);
+                    (self.fronts)(fronts);
+                }
                 Out::Tell(event) => tell(&event),
             }
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// How many fronts share the fleet, and which of them this one is.
+    pub fn fronts(&mut self, now: Micros, count: u32, place: u32, out: &mut Vec<Command>) {
+        self.tell(now, Input::Fronts(count, place), out);
+    }
+
     /// Takes new titles in; sessions of titles that are no longer there play on.
     pub fn retitle(&mut self, titles: BTreeMap<String, Title>) {
         if let Some(whip) = &mut self.whip {
--- a/src/quorum/holder.rs
+++ b/src/quorum/holder.rs
@@ -176,6 +176,7 @@
             drift: 0.1,
             stuck: Micros(9000),
             gone: Micros(3000),
+            fronts: None,
             duties: Vec::new(),
             record: None,
         }
--- a/src/quorum/ledger/tests.rs
+++ b/src/quorum/ledger/tests.rs
@@ -16,6 +16,7 @@
         drift: 0.1,
         stuck: Micros(5000),
         gone: Micros(3000),
+        fronts: None,
         duties: Vec::new(),
         record: None,
     }
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -9,6 +9,7 @@
 use super::council::{Council, NOBODY, Tenure};
 use super::founding::{Barred, Founding, Papers, Step};
 use super::frame::{Beat, Counts, Frame, Hello, NoFrame, Refused, Told};
+use super::fronts::{Crowd, Fronts};
 use super::holder::{Holder, News};
 use super::journal::{self, Identity, Read};
 use super::ledger::{Ledger, Via};
@@ -78,6 +79,8 @@
     Rewrite(u64, Vec<u8>),
     /// A line of the record is to be written.
     Record(Job),
+    /// The module is told how many fronts there are.
+    Fronts(Fronts),
     /// Something to tell in the log.
     Tell(Event),
 }
@@ -162,6 +165,7 @@
     asked_since: Boot,
     beat_at: Boot,
     view: View,
+    crowd: Option<Crowd>,
     fleet: Fleet,
     leader: Option<VoterId>,
     counts: Counts,
@@ -199,6 +203,7 @@
             asked_since: now,
             beat_at: now,
             view: View::default(),
+            crowd: setup.fronts.map(|settle| Crowd::new(setup.name.clone(), settle)),
             fleet: Fleet::new(),
             leader: None,
             counts: Counts::default(),
@@ -359,7 +364,8 @@
             _ => Some(self.idle_at),
         });
         let look = seat.filter(|s| s.agree.is_some()).map(|s| s.look_at);
-        let other = ledger.into_iter().chain(acts).chain(look).chain(self.holder.next());
+        let crowd = self.crowd.as_ref().and_then(Crowd::next);
+        let other = ledger.into_iter().chain(crowd).chain(acts).chain(look).chain(self.holder.next());
         other.fold(self.beat_at, Boot::min)
     }
 
@@ -621,6 +627,8 @@
         for news in self.holder.expire(now) {
             self.news(news, out);
         }
+        let fronts = self.crowd.as_mut().and_then(|crowd| crowd.look(now, &self.view));
+        out.extend(fronts.map(Out::Fronts));
         self.act(now, out);
         if now >= self.beat_at {
             self.beat(now, out);
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -15,6 +15,7 @@
 pub mod council;
 pub mod founding;
 pub mod frame;
+pub mod fronts;
 pub mod holder;
 pub mod journal;
 pub mod ledger;
@@ -139,6 +140,8 @@
     pub stuck: Micros,
     /// A member that was silent for so long is no longer counted.
     pub gone: Micros,
+    /// Fronts that went count for so long still in what the module is told; none: it is told what the file says.
+    pub fronts: Option<Micros>,
     /// Duties that this process takes, with how much of them.
     pub duties: Vec<(Duty, u32)>,
     /// Where the fleet's record is written.
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -316,6 +316,15 @@
     #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 3_600_000))))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gone_ms: Option<u64>,
+    /// The module is told as many fronts as there are members, and its place among them, in place of `Instances` and
+    /// `SlotNo` of the settings.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub fronts: bool,
+    /// Milliseconds for which a front that went counts still; 10,000 if left out.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 0, 3_600_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub settle_ms: Option<u64>,
     /// Duties that this process takes.
     #[garde(dive)]
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -398,6 +407,9 @@
             }
             _ => {}
         }
+        if self.settle_ms.is_some() && !self.fronts {
+            push("quorum.settle_ms".into(), "needs fronts = true");
+        }
         let lease = self.lease_ms.unwrap_or(2_000);
         if self.beat_ms.is_some_and(|beat| beat * 2 > lease) {
             push("quorum.beat_ms".into(), "more than half a lease: one lost beat would lose the lease");
--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -9,6 +9,7 @@
 use amberspindle::quorum::council::Unreplaced;
 use amberspindle::quorum::founding::Barred;
 use amberspindle::quorum::frame::Frame;
+use amberspindle::quorum::fronts::Fronts;
 use amberspindle::quorum::journal;
 use amberspindle::quorum::machine::Event;
 use amberspindle::quorum::record::Done;
@@ -34,6 +35,7 @@
         drift: 0.05,
         stuck: Micros(60_000_000),
         gone: Micros(3_000_000),
+        fronts: Some(Micros(1_000_000)),
         duties: vec![(Duty("idle".into()), 1), (Duty("record".into()), 1)],
         record: None,
     }
@@ -58,6 +60,8 @@
     links: BTreeMap<(u64, u64), VoterId>,
     travels: VecDeque<Travels>,
     runs: u64,
+    /// What the module of each was told last.
+    fronts: BTreeMap<u64, Fronts>,
     events: Vec<(u64, Event)>,
 }
 
@@ -71,6 +75,7 @@
             links: BTreeMap::new(),
             travels: VecDeque::new(),
             runs: 0,
+            fronts: BTreeMap::new(),
             events: Vec::new(),
         };
         (1..=MEMBERS).for_each(|n| world.start(n));
@@ -161,6 +166,9 @@
                     self.travels.push_back(Travels::Wrote(n, number));
                 }
                 Out::Record(job) => self.input(n, Input::Recorded(job.epoch, Done::Written)),
+                Out::Fronts(fronts) => {
+                    self.fronts.insert(n, fronts);
+                }
                 Out::Tell(event) => self.events.push((n, event)),
             }
         }
@@ -398,6 +406,24 @@
     assert!(epochs.windows(2).all(|w| w[0] <= w[1]), "{epochs:?}");
 }
 
+/// The module hears of as many fronts as there are members, each in its place, and keeps the last word without a quorum.
+#[test]
+fn fronts_are_counted_by_the_agreed_view_and_stay_while_there_is_no_quorum() {
+    let mut world = World::new();
+    world.pass(6_000_000);
+    let all = |world: &World| world.fronts.values().map(|f| (f.count, f.place)).collect::<Vec<_>>();
+    assert_eq!(all(&world), [(5, 0), (5, 1), (5, 2), (5, 3), (5, 4)]);
+    world.kill(2);
+    world.pass(3_500_000);
+    assert_eq!(world.fronts[&1].count, 5, "it may come back");
+    world.pass(2_500_000);
+    assert_eq!((world.fronts[&1].count, world.fronts[&5].place), (4, 3));
+    world.kill(1);
+    world.kill(3);
+    world.pass(20_000_000);
+    assert_eq!(world.fronts[&5].count, 4, "nobody can agree on anything else");
+}
+
 #[test]
 fn what_keeps_a_voter_from_being_replaced_is_said() {
     let mut world = World::new();
