Trials: boxes that drain, paid set-ups, lost and halved frames, one order of acts, check and report

Need: viewers asked brokers without servers, so that drains and paid set-ups were not judged; relays held up and reset and did no more; a history was judged by its epochs alone; kept runs could not be judged again.

Change: three stand-in boxes under a sealed list that all brokers watch; viewers ask for a clip and a paid show in turn, under names of their own, and what they ask for after their broker heard of a drain must not reach that box: no clock decides. Relays lose, halve and slow. Takes and acts must fit into one order (stateright's tester), and each place of the agreed log says the same everywhere: its number in the log's lines was that of the last of a batch. check and report; a kept run is judged once more from its folder; an earlier run's state no longer goes on in it. Scenarios boxes-drain, clock-fast, holder-cut-from-one-voter, renewals-lost, half-frames. Measurements load, quiet, viewers, log.

--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -102,6 +102,9 @@
     record: Option<async_channel::Sender<Job>>,
     bell: Bell,
     executor: Rc<LocalExecutor<'static>>,
+    /// Frames and bytes that were sent, and syncs of the journal.
+    sent: Cell<(u64, u64)>,
+    syncs: Cell<u64>,
     /// Tells the module how many fronts there are.
     fronts: Box<dyn Fn(Fronts)>,
 }
@@ -238,6 +241,8 @@
         record,
         bell: Bell::default(),
         executor: executor.clone(),
+        sent: Cell::new((0, 0)),
+        syncs: Cell::new(0),
         fronts,
     });
     if let Some(address) = setup.listen {
@@ -253,6 +258,9 @@
     let of_disk = quorum.clone();
     let answers = async move {
         while let Ok(input) = from_disk.recv().await {
+            if matches!(input, Input::Written(_)) {
+                of_disk.syncs.set(of_disk.syncs.get() + 1);
+            }
             of_disk.step(input);
         }
     };
@@ -276,6 +284,9 @@
 
     /// What the broker counts.
     pub fn count(self: &Rc<Self>, counts: Counts) {
+        if faults::there("tell-counts") {
+            self.tell_counts();
+        }
         self.step(Input::Counts(counts));
     }
 
@@ -311,6 +322,14 @@
         }
     }
 
+    /// What a trial measures: frames and bytes sent, syncs, and this process's processor time in microseconds.
+    fn tell_counts(&self) {
+        let processor = clock_gettime(ClockId::ProcessCPUTime);
+        let processor = processor.tv_sec as u64 * 1_000_000 + processor.tv_nsec as u64 / 1_000;
+        let (sent, sent_bytes) = self.sent.get();
+        info!(event = "quorum.counts", sent, sent_bytes, syncs = self.syncs.get(), processor);
+    }
+
     fn work(&self, work: Work) {
         if let Some(journal) = &self.journal {
             // The thread ends only after it said that the disk failed.
@@ -446,7 +465,7 @@
         Ok(frame) => quorum.step(Input::Called(conn, frame)),
         Err(why) => quorum.step(Input::NoFrame(conn, why)),
     };
-    let reason = drive(&stream, &link, heard).await;
+    let reason = drive(&stream, &link, &quorum.sent, heard).await;
     quorum.conns.borrow_mut().remove(&conn);
     quorum.step(Input::Hung(conn));
     info!(event = "end", peer = %format_args!("member:{peer}"), reason);
@@ -469,7 +488,7 @@
                 }
                 Err(why) => link.finish(why.code()),
             };
-            let reason = drive(&stream, &link, heard).await;
+            let reason = drive(&stream, &link, &quorum.sent, heard).await;
             quorum.links.borrow_mut().remove(&voter);
             quorum.step(Input::Down(voter));
             info!(event = "end", peer = %format_args!("voter:{address}"), reason, dropped = link.queue.borrow().dropped());
@@ -485,6 +504,7 @@
 async fn drive(
     stream: &Async<TcpStream>,
     link: &Link,
+    sent: &Cell<(u64, u64)>,
     mut heard: impl FnMut(Result<Frame, frame::NoFrame>),
 ) -> &'static str {
     let read = async {
@@ -528,6 +548,7 @@
             if let Err(error) = within(STALLED, writer.write_all(&bytes)).await {
                 return code(&error);
             }
+            sent.set((sent.get().0 + 1, sent.get().1 + bytes.len() as u64));
         }
     };
     let end = async {
--- a/src/quorum/agree.rs
+++ b/src/quorum/agree.rs
@@ -49,8 +49,8 @@
     Send(VoterId, Box<Paxos>),
     /// A voter's question is answered: yes, it is followed.
     Confirmed(VoterId, Confirm),
-    /// The book has changed.
-    Changed(Change),
+    /// An entry of the log, by its place from 1, has changed the book.
+    Changed(u64, Change),
     /// This council agrees on nothing more: what it said of the next one.
     Over(Vec<u8>),
 }
@@ -237,7 +237,7 @@
                     LogEntry::Decided(entry) if self.applied < decided => {
                         self.applied += 1;
                         let change = self.book.apply(&entry);
-                        out.push(Effect::Changed(change));
+                        out.push(Effect::Changed(self.before + self.applied, change));
                     }
                     LogEntry::StopSign(stop, true) => {
                         self.applied += 1;
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -672,7 +672,7 @@
                         out.push(Out::Send(to, Frame::Paxos(self.council.number, message)));
                     }
                     Effect::Confirmed(to, confirm) => out.push(Out::Send(to, Frame::Confirmed(confirm))),
-                    Effect::Changed(change) => self.changed(now, change, out),
+                    Effect::Changed(index, change) => self.changed(now, index, change, out),
                     Effect::Over(told) => self.over(&told, out),
                 }
             }
@@ -681,7 +681,7 @@
     }
 
     /// The log has grown by an entry.
-    fn changed(&mut self, now: Boot, change: Change, out: &mut Vec<Out>) {
+    fn changed(&mut self, now: Boot, index: u64, change: Change, out: &mut Vec<Out>) {
         let Some(seat) = &mut self.seat else { return };
         let Some(agree) = &seat.agree else { return };
         if let Change::Led(voter, ballot, reign) = &change {
@@ -701,7 +701,7 @@
             }
         }
         if !matches!(change, Change::Void | Change::Led(..)) {
-            out.push(Out::Tell(Event::Changed(agree.applied(), change)));
+            out.push(Out::Tell(Event::Changed(index, change)));
         }
         match nudge {
             Some((Via::Own, process)) => self.nudged(now, process, out),
--- a/trials/src/check.rs
+++ b/trials/src/check.rs
@@ -6,6 +6,8 @@
 use serde_json::Value;
 
 use crate::history::Line;
+use crate::linear;
+use crate::viewers::Asked;
 
 /// What is wrong, in words.
 pub type Wrong = Vec<String>;
@@ -15,8 +17,10 @@
     let mut wrong = Wrong::new();
     acts(lines, &mut wrong);
     grants(lines, &mut wrong);
+    log(lines, &mut wrong);
     votes(lines, &mut wrong);
     councils(lines, &mut wrong);
+    wrong.extend(linear::one_order(lines, "idle").err());
     files(record, late_lines, &mut wrong);
     wrong
 }
@@ -77,6 +81,52 @@
     }
 }
 
+/// What viewers asked for, against what each box was asked to set up: a paid session at one box and once, as all of
+/// them answer; and nothing at a box that the broker had heard to drain before it was asked.
+pub fn set_ups(asked: &[Asked], boxes: &[Vec<String>]) -> Wrong {
+    let mut wrong = Wrong::new();
+    let mut at: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+    for (i, offers) in boxes.iter().enumerate() {
+        for offer in offers {
+            let tag = offer.lines().find_map(|l| l.strip_prefix("o=")?.split(' ').next());
+            at.entry(tag.unwrap_or("?")).or_default().push(i + 1);
+        }
+    }
+    for request in asked {
+        let places = at.get(request.tag.as_str()).map_or(&[][..], Vec::as_slice);
+        if request.paid && places.len() > 1 {
+            wrong.push(format!("{}: paid, and set up at boxes {places:?}", request.tag));
+        }
+        if let Some(place) = places.iter().find(|place| request.drained.contains(place)) {
+            wrong.push(format!("{}: set up at box {place}, which was known to drain", request.tag));
+        }
+    }
+    wrong
+}
+
+/// The agreed log: whoever tells of a place in it tells the same, and each tells the places in order.
+fn log(lines: &[Line], wrong: &mut Wrong) {
+    let mut known: BTreeMap<u64, String> = BTreeMap::new();
+    let mut last: BTreeMap<(&str, usize), u64> = BTreeMap::new();
+    for line in lines.iter().filter(|l| l.event().starts_with("log.")) {
+        let Some(index) = line.number("index") else {
+            wrong.push(format!("{}: no place in the log: {}", line.who, line.text));
+            continue;
+        };
+        let own = |word: &&str| !word.starts_with("at=");
+        let told: String = line.text.split(' ').filter(own).collect::<Vec<_>>().join(" ");
+        let before = known.entry(index).or_insert_with(|| told.clone());
+        if *before != told {
+            wrong.push(format!("entry {index} of the log is `{before}` and `{told}`"));
+        }
+        let previous = last.entry((&line.who, line.run)).or_insert(0);
+        if index <= *previous {
+            wrong.push(format!("{} applied entry {index} after entry {previous}", line.who));
+        }
+        *previous = index.max(*previous);
+    }
+}
+
 /// Nobody votes whose folder was lost, spoilt or brought back from an older copy, unless a later council gave it a
 /// seat of its own.
 fn votes(lines: &[Line], wrong: &mut Wrong) {
@@ -177,20 +227,26 @@
         let act = |who: &str, run, at: u64, epoch: u64| {
             line(who, run, &format!("duty.acts duty=idle epoch={epoch} at={at}"))
         };
-        let good = [act("a", 1, 10, 1), act("a", 1, 20, 1), act("b", 2, 30, 2)];
+        let took = |who: &str, run, at: u64, epoch: u64| {
+            line(who, run, &format!("duty.took duty=idle epoch={epoch} at={at}"))
+        };
+        let (a, b) = (took("a", 1, 9, 1), took("b", 2, 29, 2));
+        let good = [a.clone(), act("a", 1, 10, 1), act("a", 1, 20, 1), b.clone(), act("b", 2, 30, 2)];
         assert!(judged(&good).is_empty());
-        assert_eq!(judged(&[act("a", 1, 31, 1), act("b", 2, 30, 2)]).len(), 1);
-        assert_eq!(judged(&[act("a", 1, 10, 1), act("a", 7, 20, 1)]).len(), 1, "one epoch, two runs");
+        // By the epochs, and as a history that has no one order.
+        assert_eq!(judged(&[a.clone(), act("a", 1, 31, 1), b, act("b", 2, 30, 2)]).len(), 2);
+        assert_eq!(judged(&[a, act("a", 1, 10, 1), act("a", 7, 20, 1)]).len(), 2, "one epoch, two runs");
     }
 
     #[test]
     fn logs_that_differ_and_epochs_that_come_again_are_found() {
         let grant = |who: &str, epoch: u64, to: &str| {
-            line(who, 1, &format!("log.granted index=3 at=1 duty=idle epoch={epoch} holder={to} run=5"))
+            line(who, 1, &format!("log.granted index={epoch} at=1 duty=idle epoch={epoch} holder={to} run=5"))
         };
         assert!(judged(&[grant("a", 1, "x"), grant("b", 1, "x"), grant("a", 2, "y")]).is_empty());
-        assert_eq!(judged(&[grant("a", 1, "x"), grant("b", 1, "y")]).len(), 1);
-        assert_eq!(judged(&[grant("a", 2, "x"), grant("a", 1, "x")]).len(), 1);
+        // By the epoch, and by the place in the log.
+        assert_eq!(judged(&[grant("a", 1, "x"), grant("b", 1, "y")]).len(), 2);
+        assert_eq!(judged(&[grant("a", 2, "x"), grant("a", 1, "x")]).len(), 2);
     }
 
     #[test]
@@ -202,6 +258,22 @@
         assert_eq!(judged(&[council("b,d,c"), lost]).len(), 1);
     }
 
+    #[test]
+    fn a_paid_session_set_up_twice_and_a_set_up_at_a_box_that_drains_are_found() {
+        let asked = |tag: &str, paid, drained: &[usize]| Asked {
+            tag: tag.into(),
+            paid,
+            drained: drained.iter().copied().collect(),
+        };
+        let offer = |tag: &str| format!("v=0\r\no={tag} 1 1 IN IP4 0.0.0.0\r\n");
+        let boxes = [vec![offer("a"), offer("b")], vec![offer("b"), offer("c")]];
+        let good =
+            [asked("a", true, &[2]), asked("b", false, &[]), asked("c", true, &[1]), asked("d", true, &[])];
+        assert!(set_ups(&good, &boxes).is_empty());
+        assert_eq!(set_ups(&[asked("b", true, &[])], &boxes).len(), 1);
+        assert_eq!(set_ups(&[asked("c", false, &[2])], &boxes).len(), 1);
+    }
+
     #[test]
     fn councils_that_differ_or_come_again_are_found() {
         let told = |who: &str, number: u64, names: &str| {
--- a/trials/src/history.rs
+++ b/trials/src/history.rs
@@ -4,8 +4,10 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// One line of one process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
     /// The process's name.
     pub who: String,
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod check;
 pub mod history;
+pub mod kept;
+pub mod linear;
 pub mod measure;
 pub mod process;
 pub mod relay;
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use amberspindle_trials::kept::{About, Told, runs};
 use amberspindle_trials::measure;
 use amberspindle_trials::run::{Options, PATIENCE, folder_of, run};
 use amberspindle_trials::scenario;
@@ -35,6 +36,16 @@
         #[arg(long, value_name = "FOLDER")]
         keep: Option<PathBuf>,
     },
+    /// Judge kept runs once more, from what they left; ends with 0 if nothing is wrong
+    Check {
+        /// A run's folder, or the folder that `--keep` named
+        folder: PathBuf,
+    },
+    /// Tell what kept runs were and what came of each
+    Report {
+        /// A run's folder, or the folder that `--keep` named
+        folder: PathBuf,
+    },
     /// Measure the time without a holder over many hand-overs
     Measure {
         /// What happens to the holder each time
@@ -43,6 +54,35 @@
         #[arg(long, default_value_t = 200)]
         times: usize,
     },
+    /// Measure what a quorum of so many processes costs each of them, quiet and without its leader
+    Load {
+        /// Processes; three of them vote
+        brokers: usize,
+        /// For so long each
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
+    /// Count hand-overs for which there is no cause, with all cores busy
+    Quiet {
+        /// For so long
+        #[arg(long, default_value_t = 600)]
+        seconds: u64,
+    },
+    /// Measure set-ups with the quorum off, on, and on with all peers cut off
+    Viewers {
+        /// Rounds of the three
+        #[arg(long, default_value_t = 10)]
+        rounds: usize,
+        /// For so long each
+        #[arg(long, default_value_t = 2)]
+        seconds: u64,
+    },
+    /// Measure grants a second, and how a voter catches up that missed so many entries
+    Log {
+        /// Entries
+        #[arg(long, default_value_t = 100_000)]
+        missed: u64,
+    },
     /// Run all scenarios with one seed after another, so many times
     Soak {
         /// How often
@@ -84,16 +124,24 @@
                 one(name, &options) && good
             })
         }
-        Command::Measure { how, times } => match measure::hand_overs(&program, how, times) {
-            Ok(text) => {
-                println!("{text}");
-                true
-            }
-            Err(error) => {
-                println!("{error}");
-                false
-            }
-        },
+        Command::Check { folder } => of_kept(&folder, |path, about, told| {
+            let wrong = told.judged(path, about.late_lines);
+            println!("{}: {}", path.display(), if wrong.is_empty() { "good" } else { "WRONG" });
+            wrong.iter().take(20).for_each(|wrong| println!("  wrong: {wrong}"));
+            wrong.is_empty()
+        }),
+        Command::Report { folder } => of_kept(&folder, |_, about, told| {
+            println!("{}", about.line());
+            let timeline = amberspindle_trials::history::timeline(&told.lines);
+            timeline.iter().take(40).for_each(|line| println!("  {line}"));
+            about.wrong.iter().take(20).for_each(|wrong| println!("  wrong: {wrong}"));
+            true
+        }),
+        Command::Measure { how, times } => measured(measure::hand_overs(&program, how, times)),
+        Command::Load { brokers, seconds } => measured(measure::load(&program, brokers, seconds)),
+        Command::Quiet { seconds } => measured(measure::quiet(&program, seconds)),
+        Command::Viewers { rounds, seconds } => measured(measure::viewers(&program, rounds, seconds)),
+        Command::Log { missed } => measured(measure::log(missed)),
         Command::Soak { times } => {
             let mut options = Options { program, seed: 0, mutant: None, patience: PATIENCE, keep: None };
             (1..=times).fold(true, |good, seed| {
@@ -105,6 +153,28 @@
     if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Prints what was measured; whether it was.
+fn measured(done: Result<String, String>) -> bool {
+    let good = done.is_ok();
+    println!("{}", done.unwrap_or_else(|error| error));
+    good
+}
+
+/// Does something with each kept run; whether all is well.
+fn of_kept(folder: &std::path::Path, act: impl Fn(&std::path::Path, &About, &Told) -> bool) -> bool {
+    let runs = runs(folder).and_then(|runs| {
+        runs.into_iter().map(|path| About::read(&path).map(|(about, told)| (path, about, told))).collect()
+    });
+    let runs: Vec<_> = match runs {
+        Ok(runs) => runs,
+        Err(error) => {
+            println!("{error}");
+            return false;
+        }
+    };
+    runs.iter().fold(true, |good, (path, about, told)| act(path, about, told) && good)
+}
+
 /// Runs one and tells of it; whether all is well.
 fn one(name: &str, options: &Options) -> bool {
     let report = scenario::named(name).and_then(|s| run(name, &s, options));
--- a/trials/src/measure.rs
+++ b/trials/src/measure.rs
@@ -1,9 +1,17 @@
-//! The time without a holder, over many hand-overs: from the moment at which something happens to the holder to the
+//! Measurements. Here the time without a holder, over many hand-overs: from the moment at which something happens to the holder to the
 //! moment at which the next one holds the duty.
 
+mod load;
+mod log;
+mod viewers;
+
 use std::path::Path;
 use std::time::Duration;
 
+pub use load::{load, quiet};
+pub use log::log;
+pub use viewers::viewers;
+
 use crate::history::Line;
 use crate::run::{Options, PATIENCE, Rig, boot_now};
 use crate::scenario::{Scenario, Step};
@@ -30,12 +38,19 @@
     took.filter_map(|l| Some((l.number("epoch")?, l.number("at")?, l.who.clone()))).max()
 }
 
+/// A scenario without steps, with these settings.
+fn scenario(settings: &str) -> Result<Scenario, String> {
+    toml::from_str(&format!("about = \"\"\nstep = []\n{settings}")).map_err(|e| e.to_string())
+}
+
+fn options(program: &Path) -> Options {
+    Options { program: program.to_owned(), seed: 1, mutant: None, patience: PATIENCE, keep: None }
+}
+
 /// Measures so many hand-overs with leases of a second; gives a line of text.
 pub fn hand_overs(program: &Path, how: How, times: usize) -> Result<String, String> {
-    let scenario: Scenario =
-        toml::from_str("about = \"\"\ntakers = [4, 5]\nstep = []\n").map_err(|e| e.to_string())?;
-    let options =
-        Options { program: program.to_owned(), seed: 1, mutant: None, patience: PATIENCE, keep: None };
+    let scenario = scenario("takers = [4, 5]\n")?;
+    let options = options(program);
     let folder = std::env::temp_dir().join(format!("amberspindle-measure-{}-{how:?}", std::process::id()));
     let _scratch = crate::process::Scratch(folder.clone(), false);
     let mut rig = Rig::new(&scenario, &options, folder)?;
--- a/trials/src/relay.rs
+++ b/trials/src/relay.rs
@@ -1,4 +1,5 @@
-//! Relays: every link between two processes runs through one, so that each direction can be held up or reset.
+//! Relays: every link between two processes runs through one, so that each direction can be held up, slowed, made to
+//! lose what it is given, cut in the middle of a frame, or reset.
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -8,6 +9,8 @@
 
 /// Between looks at whether a direction is held up.
 const LOOK: Duration = Duration::from_millis(5);
+/// The same while nothing comes: what comes after a cut is looked at before it goes on.
+const IDLE: Duration = Duration::from_millis(50);
 
 /// Where one process reaches another.
 #[derive(Clone)]
@@ -17,12 +20,27 @@
     state: Arc<State>,
 }
 
+/// What becomes of bytes in one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    /// They go on.
+    #[default]
+    Open,
+    /// They are held up, and go on once the way is open again.
+    Held,
+    /// They are lost, and with them the connection, once the way is open again: the sender can't know before.
+    Lost,
+    /// The first part of the next piece goes on, then the connection is reset.
+    Half,
+    /// Each piece waits for so long.
+    Slow(Duration),
+}
+
 struct State {
     target: Mutex<Option<SocketAddr>>,
-    /// What the caller says is held up.
-    forth: AtomicBool,
-    /// What the called says is held up.
-    back: AtomicBool,
+    /// What becomes of what the caller says, and of what the called says.
+    forth: Mutex<Way>,
+    back: Mutex<Way>,
     /// Connections of an earlier number are reset.
     number: AtomicU64,
     over: AtomicBool,
@@ -36,8 +54,8 @@
         listener.set_nonblocking(true)?;
         let state = Arc::new(State {
             target: Mutex::new(None),
-            forth: AtomicBool::new(false),
-            back: AtomicBool::new(false),
+            forth: Mutex::default(),
+            back: Mutex::default(),
             number: AtomicU64::new(0),
             over: AtomicBool::new(false),
         });
@@ -51,14 +69,14 @@
         *self.state.target.lock().unwrap_or_else(|e| e.into_inner()) = address;
     }
 
-    /// Holds up what the caller says, or no longer.
-    pub fn hold_forth(&self, held: bool) {
-        self.state.forth.store(held, Ordering::SeqCst);
+    /// What becomes of what the caller says from now on.
+    pub fn forth(&self, way: Way) {
+        *self.state.forth.lock().unwrap_or_else(|e| e.into_inner()) = way;
     }
 
-    /// Holds up what the called says, or no longer.
-    pub fn hold_back(&self, held: bool) {
-        self.state.back.store(held, Ordering::SeqCst);
+    /// What becomes of what the called says from now on.
+    pub fn back(&self, way: Way) {
+        *self.state.back.lock().unwrap_or_else(|e| e.into_inner()) = way;
     }
 
     /// Resets all connections.
@@ -92,15 +110,18 @@
 
 fn pump(mut from: TcpStream, mut to: TcpStream, forth: bool, number: u64, state: &State) {
     let _ = from.set_nonblocking(false);
-    let _ = from.set_read_timeout(Some(LOOK));
+    let _ = from.set_read_timeout(Some(IDLE));
     let _ = to.set_nodelay(true);
-    let held = || if forth { &state.forth } else { &state.back }.load(Ordering::SeqCst);
+    let way = || *if forth { &state.forth } else { &state.back }.lock().unwrap_or_else(|e| e.into_inner());
     let mut bytes = [0; 16 * 1024];
-    loop {
-        if state.number.load(Ordering::SeqCst) != number {
-            break;
-        }
-        if held() {
+    let mut lost = false;
+    while state.number.load(Ordering::SeqCst) == number {
+        let now = way();
+        // Bytes are missing here: nothing that comes behind them may follow.
+        if now == Way::Held || (lost && now != Way::Lost) {
+            if lost {
+                break;
+            }
             std::thread::sleep(LOOK);
             continue;
         }
@@ -108,10 +129,24 @@
             Ok(0) => break,
             Ok(n) => {
                 // What was read as the cut began is held up too.
-                while held() && state.number.load(Ordering::SeqCst) == number {
+                while way() == Way::Held && state.number.load(Ordering::SeqCst) == number {
                     std::thread::sleep(LOOK);
                 }
-                if state.number.load(Ordering::SeqCst) != number || to.write_all(&bytes[..n]).is_err() {
+                let part = match way() {
+                    Way::Half => n / 2,
+                    _ => n,
+                };
+                if let Way::Slow(wait) = way() {
+                    std::thread::sleep(wait);
+                }
+                if way() == Way::Lost {
+                    lost = true;
+                    continue;
+                }
+                if state.number.load(Ordering::SeqCst) != number
+                    || to.write_all(&bytes[..part]).is_err()
+                    || part < n
+                {
                     break;
                 }
             }
--- a/trials/src/run.rs
+++ b/trials/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write as _;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,12 +10,12 @@
 
 use rustix::process::Signal;
 
-use crate::check;
 use crate::history::{self, History, Line};
+use crate::kept::{About, Told, build};
 use crate::process::{Process, Scratch, Start};
-use crate::relay::Relay;
+use crate::relay::{Relay, Way};
 use crate::scenario::{Scenario, Step};
-use crate::viewers::Viewer;
+use crate::viewers::{Boxes, Viewer};
 
 /// The wide bound on whatever is awaited.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -62,7 +62,10 @@
     /// From whom, to which voter.
     relays: BTreeMap<(usize, usize), Relay>,
     names: BTreeMap<String, String>,
+    boxes: Boxes,
     viewers: Vec<Viewer>,
+    /// How many brokers have a viewer.
+    viewed: usize,
     runs: usize,
 }
 
@@ -86,6 +89,10 @@
     let own = format!("amberspindle-trial-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
     let folder = options.keep.clone().unwrap_or_else(|| std::env::temp_dir().join(own));
     let scratch = Scratch(folder.clone(), options.keep.is_some());
+    // An earlier run's state would go on here.
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    }
     let mut rig = Rig::new(scenario, options, folder.clone())?;
     let done = rig.begin().and_then(|()| {
         for (i, step) in scenario.step.iter().enumerate() {
@@ -98,9 +105,11 @@
     });
     let mut wrong = Vec::new();
     let mut viewers = (0, 0, 0);
+    let mut asked = Vec::new();
     for (i, viewer) in rig.viewers.drain(..).enumerate() {
-        let counts = viewer.counts.clone();
+        let (counts, list) = (viewer.counts.clone(), viewer.asked.clone());
         drop(viewer);
+        asked.append(&mut list.lock().unwrap_or_else(|e| e.into_inner()));
         let of = |count: &std::sync::atomic::AtomicU64| count.load(Ordering::SeqCst);
         viewers = (
             viewers.0 + of(&counts.asked),
@@ -118,22 +127,24 @@
     rig.processes.clear();
     rig.twins.clear();
     rig.relays.values().for_each(Relay::end);
-    let lines = rig.history.lines();
-    wrong.extend(check::all(&lines, &folder.join("record"), scenario.late_lines));
+    let told = Told { lines: rig.history.lines(), asked, boxes: rig.boxes.seen() };
+    wrong.extend(told.judged(&folder, scenario.late_lines));
     wrong.extend(done.err().map(|e| format!("not brought about: {e}")));
+    let lines = told.lines.clone();
     let timeline = history::timeline(&lines);
     let acts = lines.iter().filter(|l| matches!(l.event(), "duty.acts" | "record.wrote")).count();
     if options.keep.is_some() {
-        let log: Vec<String> = lines.iter().map(|l| format!("{}#{} {}", l.who, l.run, l.text)).collect();
-        let seed = format!("scenario={name} seed={} mutant={:?}\n", options.seed, options.mutant);
-        for (file, text) in [
-            ("history", log.join("\n")),
-            ("timeline", timeline.join("\n")),
-            ("run", seed),
-            ("timeline.svg", history::svg(&lines)),
-        ] {
-            let _ = std::fs::write(folder.join(file), text);
-        }
+        let about = About {
+            scenario: name.to_owned(),
+            seed: options.seed,
+            mutant: options.mutant.clone(),
+            build: build(&options.program),
+            late_lines: scenario.late_lines,
+            viewers,
+            acts,
+            wrong: wrong.clone(),
+        };
+        about.keep(&folder, &told).map_err(|e| format!("{}: {e}", folder.display()))?;
     }
     drop(scratch);
     Ok(Report { wrong, viewers, acts, timeline, lines })
@@ -156,7 +167,9 @@
             twins: Vec::new(),
             relays: BTreeMap::new(),
             names: BTreeMap::new(),
+            boxes: Boxes::start(),
             viewers: Vec::new(),
+            viewed: VIEWED,
             runs: 0,
         })
     }
@@ -168,8 +181,11 @@
                 self.relays.insert((from, to), Relay::start().map_err(|e| e.to_string())?);
             }
         }
-        for _ in 0..self.scenario.brokers.min(VIEWED) {
-            self.viewers.push(Viewer::start());
+        self.boxes
+            .write_list(&self.options.program, &self.folder.join("servers.toml"))
+            .map_err(|e| e.to_string())?;
+        for n in 1..=self.scenario.brokers.min(self.viewed) {
+            self.viewers.push(Viewer::start(n));
         }
         (1..=self.scenario.brokers).try_for_each(|n| self.start(&broker(n), "keep"))
     }
@@ -179,10 +195,55 @@
         n <= self.scenario.voters || self.scenario.spares.contains(&n)
     }
 
+    /// Begins without viewers.
+    pub(crate) fn begin_quietly(&mut self) -> Result<(), String> {
+        self.viewed = 0;
+        self.begin()
+    }
+
+    /// Waits until the agreed view has so many members.
+    pub(crate) fn members(&self, many: usize) -> Result<(), String> {
+        let there = |lines: &[Line]| {
+            let joined = lines.iter().filter(|l| l.event() == "log.joined").filter_map(|l| l.field("member"));
+            (joined.collect::<BTreeSet<_>>().len() >= many).then_some(())
+        };
+        self.history.wait(self.options.patience, there).ok_or_else(|| format!("{many} members never joined"))
+    }
+
+    /// Where a process listens for viewers.
+    pub(crate) fn http(&self, name: &str) -> Result<SocketAddr, String> {
+        let run = self.processes.get(name).map_or(0, |p| p.run);
+        self.await_line(name, run, "an http that listens", |l| {
+            let words: Vec<&str> = l.text.split(' ').collect();
+            let listens = words.get(1) == Some(&"listens") && l.text.ends_with("http");
+            listens.then(|| words.get(3).copied())??.parse().ok()
+        })
+    }
+
+    /// Starts a process that is part of no quorum; where it listens for viewers.
+    pub(crate) fn start_alone(&mut self, name: &str) -> Result<SocketAddr, String> {
+        let text = self.config(1);
+        let (head, rest) = text.split_once("[quorum]").unwrap_or((&text, ""));
+        let settings = rest.find("[settings]").map_or("", |at| &rest[at..]);
+        let path = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&path, format!("{head}{settings}")).map_err(|e| e.to_string())?;
+        self.runs += 1;
+        let (run, faults) = (self.runs, self.folder.join("faults").join(name));
+        let program = self.options.program.as_path();
+        let start = Start { program, name, config: &path, faults: &faults, mutant: None, run, how: "keep" };
+        let process = Process::start(&start, &self.history).map_err(|e| format!("{name}: {e}"))?;
+        self.processes.insert(name.to_owned(), process);
+        self.await_line(name, run, "a list", |l| (l.event() == "list.taken").then_some(()))?;
+        self.http(name)
+    }
+
     fn config(&self, n: usize) -> String {
         let s = self.scenario;
         let mut text = format!(
-            "name = \"{}\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[[title]]\nname = \"guide\"\nclass = \"clip\"\nhome = 0\ncopies = 1\n\
+            "name = \"{}\"\n[whip]\nlisten = \"127.0.0.1:0\"\n\
+             [[title]]\nname = \"guide\"\nclass = \"clip\"\nhome = 0\ncopies = 3\n\
+             [[title]]\nname = \"show\"\nclass = \"live\"\nhome = 0\ncopies = 3\n\
+             [watch]\nservers = \"servers.toml\"\npoll_ms = 200\nmost_dropped = 1.0\n\
              [quorum]\ncluster = \"trial\"\nlease_ms = {}\ndrift = {}\nelection_ms = {}\n",
             broker(n),
             s.lease_ms,
@@ -228,30 +289,23 @@
         let start = Start { program, name, config: &path, faults: &faults, mutant, run, how };
         let process = Process::start(&start, &self.history).map_err(|e| format!("{name}: {e}"))?;
         self.processes.insert(name.to_owned(), process);
-        let listens = |front: &str| {
-            self.await_line(name, run, &format!("a {front} that listens"), |l| {
-                let words: Vec<&str> = l.text.split(' ').collect();
-                let at = if front == "quorum" {
-                    (l.event() == "listens" && l.field("front") == Some("quorum"))
-                        .then(|| l.field("address"))?
-                } else {
-                    (words.get(1) == Some(&"listens") && l.text.ends_with("http"))
-                        .then(|| words.get(3).copied())?
-                };
-                at?.parse().ok()
-            })
-        };
-        let http = listens("http")?;
+        let http = self.http(name)?;
         if self.keeps_log(n) {
-            let address = listens("quorum")?;
+            let address = self.await_line(name, run, "a quorum that listens", |l| {
+                let listens = l.event() == "listens" && l.field("front") == Some("quorum");
+                listens.then(|| l.field("address"))??.parse().ok()
+            })?;
             for from in 1..=self.scenario.brokers {
                 if let Some(relay) = self.relays.get(&(from, n)) {
                     relay.lead_to(Some(address));
                 }
             }
         }
+        // The first list is there before anybody asks.
+        self.await_line(name, run, "a list", |l| (l.event() == "list.taken").then_some(()))?;
         if let Some(viewer) = self.viewers.get(n - 1) {
             viewer.disturbed.fetch_add(1, Ordering::SeqCst);
+            *viewer.drained.lock().unwrap_or_else(|e| e.into_inner()) = self.boxes.drained.clone();
             *viewer.at.lock().unwrap_or_else(|e| e.into_inner()) = Some(http);
         }
         Ok(())
@@ -345,17 +399,17 @@
         Ok(())
     }
 
-    fn cut(&self, from: &str, to: &str, held: bool) -> Result<(), String> {
+    fn cut(&self, from: &str, to: &str, way: Way) -> Result<(), String> {
         let numbers = |word: &str| -> Result<BTreeSet<usize>, String> {
             self.who(word)?.iter().map(|n| number(n)).collect()
         };
         let (from, to) = (numbers(from)?, numbers(to)?);
         for ((caller, called), relay) in &self.relays {
             if from.contains(caller) && to.contains(called) {
-                relay.hold_forth(held);
+                relay.forth(way);
             }
             if from.contains(called) && to.contains(caller) {
-                relay.hold_back(held);
+                relay.back(way);
             }
         }
         Ok(())
@@ -461,24 +515,28 @@
                 Ok(())
             }
             Step::Cut { from, to, both } => {
-                self.cut(from, to, true)?;
-                if *both { self.cut(to, from, true) } else { Ok(()) }
+                self.cut(from, to, Way::Held)?;
+                if *both { self.cut(to, from, Way::Held) } else { Ok(()) }
             }
+            Step::Lose { from, to } => self.cut(from, to, Way::Lost),
+            Step::Halve { from, to } => self.cut(from, to, Way::Half),
+            Step::Slow { from, to, ms } => self.cut(from, to, Way::Slow(Duration::from_millis(*ms))),
+            Step::Drain { r#box } => self.drain(*r#box),
             Step::Join { who, to } => {
-                self.cut(who, to, false)?;
-                self.cut(to, who, false)
+                self.cut(who, to, Way::Open)?;
+                self.cut(to, who, Way::Open)
             }
             Step::JoinOthers { not } => {
                 let not = self.who(not)?;
                 let others: Vec<String> =
                     self.who("voters")?.into_iter().filter(|v| !not.contains(v)).collect();
                 for (from, to) in others.iter().flat_map(|a| others.iter().map(move |b| (a, b))) {
-                    self.cut(from, to, false)?;
+                    self.cut(from, to, Way::Open)?;
                 }
                 Ok(())
             }
-            Step::Release { from, to } => self.cut(from, to, false),
-            Step::Heal {} => self.cut("all", "all", false),
+            Step::Release { from, to } => self.cut(from, to, Way::Open),
+            Step::Heal {} => self.cut("all", "all", Way::Open),
             Step::Reset {} => {
                 self.relays.values().for_each(Relay::reset);
                 Ok(())
@@ -486,9 +544,9 @@
             Step::Flap { who, times } => {
                 let who = self.who(who)?.remove(0);
                 for _ in 0..*times {
-                    for held in [true, false] {
-                        self.cut(&who, "all", held)?;
-                        self.cut("all", &who, held)?;
+                    for way in [Way::Held, Way::Open] {
+                        self.cut(&who, "all", way)?;
+                        self.cut("all", &who, way)?;
                         std::thread::sleep(Duration::from_millis(30));
                     }
                 }
@@ -527,6 +585,33 @@
         }
     }
 
+    /// Lets a box drain, and tells each viewer once its broker has heard of that: what it asks for from then on must
+    /// not get there.
+    fn drain(&mut self, number: usize) -> Result<(), String> {
+        let heard = |lines: &[Line], name: &str, run: usize| {
+            lines.iter().filter(|l| l.who == name && l.run == run && l.event() == "list.taken").count()
+        };
+        let running =
+            self.processes.iter().filter(|(_, p)| !p.stopped).map(|(name, p)| (name.clone(), p.run));
+        let running: Vec<(String, usize)> = running.collect();
+        let lines = self.history.lines();
+        let before: Vec<usize> = running.iter().map(|(name, run)| heard(&lines, name, *run)).collect();
+        self.boxes.drained.insert(number);
+        self.boxes
+            .write_list(&self.options.program, &self.folder.join("servers.toml"))
+            .map_err(|e| e.to_string())?;
+        for ((name, run), before) in running.iter().zip(before) {
+            let taken = |lines: &[Line]| (heard(lines, name, *run) > before).then_some(());
+            self.history
+                .wait(self.options.patience, taken)
+                .ok_or_else(|| format!("{name} never took the list in which box {number} drains"))?;
+            if let Some(viewer) = self::number(name).ok().and_then(|n| self.viewers.get(n - 1)) {
+                *viewer.drained.lock().unwrap_or_else(|e| e.into_inner()) = self.boxes.drained.clone();
+            }
+        }
+        Ok(())
+    }
+
     /// Noise, half frames, frames of another version, and ten thousand frames in a row.
     fn babble(&self, who: &str) -> Result<(), String> {
         let mut random = fastrand::Rng::with_seed(self.options.seed);
--- a/trials/src/scenario.rs
+++ b/trials/src/scenario.rs
@@ -154,6 +154,34 @@
         #[serde(default)]
         both: bool,
     },
+    /// Loses what one process says to another, and once that is over the connections too.
+    Lose {
+        /// Who is not heard.
+        from: String,
+        /// By whom.
+        to: String,
+    },
+    /// Lets half a piece through, then resets, until the next `heal`.
+    Halve {
+        /// Who is cut short.
+        from: String,
+        /// On the way to whom.
+        to: String,
+    },
+    /// Slows each piece down.
+    Slow {
+        /// What who says.
+        from: String,
+        /// To whom.
+        to: String,
+        /// By how much.
+        ms: u64,
+    },
+    /// Lets a box drain: the list that all brokers watch says so. Waits until each that runs has taken it.
+    Drain {
+        /// Which box, from 1.
+        r#box: usize,
+    },
     /// Ends the cut between two, both ways.
     Join {
         /// One.
@@ -241,6 +269,8 @@
 scenarios!(
     "all-killed",
     "babble",
+    "boxes-drain",
+    "clock-fast",
     "clock-slow",
     "disk-full",
     "flapping",
@@ -248,8 +278,10 @@
     "folder-lost-replaced",
     "folder-old",
     "folder-spoilt",
+    "half-frames",
     "hand-on",
     "holder-cut-from-all",
+    "holder-cut-from-one-voter",
     "holder-cut-one-way",
     "holder-killed",
     "holder-stalls",
@@ -263,6 +295,7 @@
     "leader-is-holder",
     "leader-killed-holder-cut",
     "majority-lost",
+    "renewals-lost",
     "ring",
     "rolling-restart",
     "syncs-lost",
