--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -286,6 +286,11 @@
         own.into_iter().chain([self.module.remembered()]).max().unwrap_or(0)
     }
 
+    /// The servers as last told.
+    pub fn listed(&self) -> Vec<ServerEntry> {
+        self.guard.list()
+    }
+
     /// Whether any session stands at a server.
     pub fn stands_any(&self, at: &ServerId) -> bool {
         let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
--- a/src/config.rs
+++ b/src/config.rs
@@ -196,6 +196,12 @@
     })
 }
 
+/// How long a process may go by its rules by its own clock, so that no clock within `drift` of the true one makes
+/// that longer than this span, nor the leader's count of it, which is longer by the same part.
+fn fresh(skew: Micros, drift: f64) -> Micros {
+    Micros((skew.0 as f64 / (1.0 + drift).powi(2)).floor() as u64)
+}
+
 /// What the file says of the quorum; paths start from its folder.
 fn read_quorum(record: &QuorumRecord, name: &str, base: &Path) -> quorum::Setup {
     let lease = record.lease_ms.unwrap_or(2_000);
@@ -218,6 +224,7 @@
         drift: record.drift.unwrap_or(0.01),
         stuck: ms(record.stuck_ms, lease * 10),
         gone: ms(record.gone_ms, lease * 3),
+        fresh: fresh(ms(record.skew_ms, 2_000), record.drift.unwrap_or(0.01)),
         fronts: record.fronts.then(|| ms(record.settle_ms, 10_000)),
         duties: record.duty.iter().map(|d| (quorum::Duty(d.name.clone()), d.weight.unwrap_or(1))).collect(),
         record: record.record.as_ref().map(|dir| base.join(dir)),
--- a/src/module/api.rs
+++ b/src/module/api.rs
@@ -308,6 +308,13 @@
     Gone,
 }
 
+impl ServerState {
+    /// The same for a server that rules bar: nothing new.
+    pub fn barred(self) -> ServerState {
+        if self == ServerState::Ready { ServerState::Draining } else { self }
+    }
+}
+
 /// A line of the list of servers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerEntry {
--- a/src/quorum/mutant.rs
+++ b/src/mutant.rs
@@ -27,11 +27,17 @@
     StaleReign,
     /// A spoilt middle of the log is skipped.
     SkipSpoilt,
+    /// A version of the rules is in force as soon as it is announced.
+    ForceAtOnce,
+    /// A process counts its freshness from the receipt of the answer.
+    FreshFromReceipt,
+    /// A process never doubts its rules.
+    FreshForGood,
 }
 
 impl Mutant {
     /// All of them, with the names they go by.
-    pub const ALL: [(&'static str, Mutant); 12] = [
+    pub const ALL: [(&'static str, Mutant); 15] = [
         ("no-drift", Mutant::NoDrift),
         ("from-receipt", Mutant::FromReceipt),
         ("no-second-look", Mutant::NoSecondLook),
@@ -44,6 +50,9 @@
         ("forgotten-vote", Mutant::ForgottenVote),
         ("stale-reign", Mutant::StaleReign),
         ("skip-spoilt", Mutant::SkipSpoilt),
+        ("force-at-once", Mutant::ForceAtOnce),
+        ("fresh-from-receipt", Mutant::FreshFromReceipt),
+        ("fresh-for-good", Mutant::FreshForGood),
     ];
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -30,6 +30,7 @@
 use crate::quorum::fronts::Fronts;
 use crate::records::Findings;
 use crate::roster::{News, Plausible, Roster, Source};
+use crate::rules::standing::Standing;
 use outbox::{Bell, Outbox};
 
 /// After SIGTERM connections and requests keep coming for so long.
@@ -140,6 +141,10 @@
     let mut commands = Vec::new();
     let (result, lines, told) = {
         let mut node = shared.node.borrow_mut();
+        if node.has_rules() {
+            // Read anew for each step: what is decided after a stall is decided by the moment behind it.
+            node.set_boot(quorum::boot_now());
+        }
         (act(&mut node, now, &mut commands), node.take_log(), node.take_trace())
     };
     for (at, event) in told {
@@ -582,8 +587,12 @@
     let paced = move |fronts: Fronts| {
         step(&told, |node, now, out| node.fronts(now, fronts.count, fronts.place, out));
     };
+    let told = shared.clone();
+    let ruled = move |standing: Standing| {
+        step(&told, |node, now, out| node.ruled(now, standing, out));
+    };
     let quorum = setup
-        .map(|setup| quorum::start(&shared.executor, setup, incarnation, Box::new(paced)))
+        .map(|setup| quorum::start(&shared.executor, setup, incarnation, Box::new(paced), Box::new(ruled)))
         .transpose()?;
     if let Some(quorum) = &quorum {
         shared.executor.spawn(count(shared.clone(), quorum.clone())).detach();
--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -20,6 +20,8 @@
 use crate::api::Micros;
 use crate::disk::{self, Journal};
 use crate::faults;
+#[cfg(feature = "trials")]
+use crate::mutant;
 use crate::quorum::backoff::Backoff;
 use crate::quorum::book::Change;
 use crate::quorum::council::Unreplaced;
@@ -28,12 +30,12 @@
 use crate::quorum::fronts::Fronts;
 use crate::quorum::journal::{self, Unusable};
 use crate::quorum::machine::Event;
-#[cfg(feature = "trials")]
-use crate::quorum::mutant;
 use crate::quorum::queue::Queue;
 use crate::quorum::record::{self, Done, Job};
-use crate::quorum::view::Status;
+use crate::quorum::view::{RulesStatus, Status};
 use crate::quorum::{Boot, Duty, Incarnation, Input, Machine, Name, Out, Setup, VoterId};
+use crate::rules::standing::{Standing, Sure};
+use crate::rules::version::{Fate, Proposal, Unproposed, Version};
 
 /// A link that doesn't come up within this has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -107,6 +109,8 @@
     syncs: Cell<u64>,
     /// Tells the module how many fronts there are.
     fronts: Box<dyn Fn(Fronts)>,
+    /// Tells the node what it acts on.
+    rules: Box<dyn Fn(Standing)>,
 }
 
 fn tell(event: &Event) {
@@ -132,6 +136,15 @@
         }
         Event::Changed(index, change) => changed(*index, change),
         Event::Refused(who, why) => warn!(event = "quorum.refused", who = who.as_str(), reason = %why),
+        Event::Sure(sure) => {
+            let (state, version, next) = match sure {
+                Sure::None => ("none", 0, 0),
+                Sure::Fresh(version) => ("fresh", *version, 0),
+                Sure::Between(version, next) => ("between", *version, *next),
+                Sure::Unsure(version) => ("unsure", *version, 0),
+            };
+            info!(event = "rules.sure", state, version, next, at = real_now());
+        }
         Event::Unrecorded(epoch, done) => warn!(event = "record.unwritten", epoch = epoch.0, reason = ?done),
     }
 }
@@ -172,6 +185,11 @@
                 run = process.incarnation.0
             );
         }
+        Change::Announced(number) => info!(event = "log.announced", index, at, number),
+        Change::Enforced(number) => info!(event = "log.enforced", index, at, number),
+        Change::Withdrawn(number, why) => {
+            warn!(event = "log.withdrawn", index, at, number, reason = why.as_str());
+        }
         Change::Led(..) | Change::Void => {}
     }
 }
@@ -197,6 +215,7 @@
     setup: &Setup,
     incarnation: Incarnation,
     fronts: Box<dyn Fn(Fronts)>,
+    rules: Box<dyn Fn(Standing)>,
 ) -> io::Result<Rc<Quorum>> {
     #[cfg(feature = "trials")]
     mutant::choose(mutant::of_environment());
@@ -244,6 +263,7 @@
         sent: Cell::new((0, 0)),
         syncs: Cell::new(0),
         fronts,
+        rules,
     });
     if let Some(address) = setup.listen {
         let listener = Async::<TcpListener>::bind(address).map_err(|e| {
@@ -317,6 +337,7 @@
                     info!(event = "quorum.fronts", count = fronts.count, place = fronts.place);
                     (self.fronts)(fronts);
                 }
+                Out::Rules(standing) => (self.rules)(standing),
                 Out::Tell(event) => tell(&event),
             }
         }
@@ -705,6 +726,94 @@
     Err(problems.join("; "))
 }
 
+/// The rules, told by the leader where one is known, else by the first that answers.
+pub fn rules(setup: &Setup) -> Result<RulesStatus, String> {
+    let answer = |frame: Frame| match frame {
+        Frame::RulesAre(status) => Some(*status),
+        _ => None,
+    };
+    let (mut found, mut problems) = (None::<RulesStatus>, Vec::new());
+    for (name, address) in asked(setup) {
+        match async_io::block_on(ask(address, &hello(setup), &Frame::Rules, answer)) {
+            Ok(status) if status.confirmed => return Ok(status),
+            Ok(status) => {
+                let better = found.as_ref().is_none_or(|f| status.ruled.last > f.ruled.last);
+                found = if better { Some(status) } else { found };
+            }
+            Err(error) => problems.push(format!("{name} ({address}): {error}")),
+        }
+    }
+    found.ok_or_else(|| format!("no voter answers: {}", problems.join("; ")))
+}
+
+/// Proposes a document of rules; with `wait` until it is in force. Gives its number.
+pub fn propose(setup: &Setup, proposal: &Proposal, wait: bool) -> Result<u64, String> {
+    let at_ms = super::unix().0 / 1_000;
+    let frame = Frame::Propose(Box::new(Proposal { at_ms, ..proposal.clone() }));
+    let answer = |frame: Frame| match frame {
+        Frame::Proposed(done) => Some(done),
+        _ => None,
+    };
+    let mut problems = Vec::new();
+    for (name, address) in asked(setup) {
+        match async_io::block_on(ask(address, &hello(setup), &frame, answer)) {
+            Ok(Ok(number)) if wait => return in_force(setup, number, &Version::digest_of(&proposal.text)),
+            Ok(Ok(number)) => return Ok(number),
+            Ok(Err(why)) if why != Unproposed::NotLeading => return Err(why.to_string()),
+            Ok(Err(why)) => problems.push(format!("{name}: {why}")),
+            Err(error) => problems.push(format!("{name} ({address}): {error}")),
+        }
+    }
+    Err(problems.join("; "))
+}
+
+fn in_force(setup: &Setup, number: u64, digest: &str) -> Result<u64, String> {
+    let until = Instant::now() + THROUGH;
+    while Instant::now() < until {
+        if let Ok(status) = rules(setup)
+            && status.ruled.last >= number
+        {
+            let ruled = &status.ruled;
+            let past = ruled.past.iter().find(|p| p.version.number == number);
+            let current = ruled.force.iter().chain(&ruled.announced).find(|v| v.number == number);
+            // The leader that took the proposal may have gone before it was agreed on, and another's be there now.
+            if let Some(other) = current.or(past.map(|p| &p.version)).filter(|v| v.digest != digest) {
+                return Err(format!(
+                    "version {number} is another document, by {}: propose again",
+                    other.author
+                ));
+            }
+            match past.map(|p| &p.fate) {
+                Some(Fate::Followed) => return Ok(number),
+                Some(Fate::Withdrawn(why)) => return Err(format!("version {number} was withdrawn: {why}")),
+                None if ruled.force() == number => return Ok(number),
+                None => {}
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Err(format!("version {number} is not in force after 30 s; see `rules show`"))
+}
+
+/// Has the announced version withdrawn.
+pub fn abort(setup: &Setup, number: u64) -> Result<(), String> {
+    let answer = |frame: Frame| match frame {
+        Frame::Aborting(done) => Some(done),
+        _ => None,
+    };
+    let mut problems = Vec::new();
+    for (name, address) in asked(setup) {
+        match async_io::block_on(ask(address, &hello(setup), &Frame::Abort(number), answer)) {
+            Ok(true) => return Ok(()),
+            Ok(false) => {
+                problems.push(format!("{name}: does not lead, or version {number} is not announced"))
+            }
+            Err(error) => problems.push(format!("{name} ({address}): {error}")),
+        }
+    }
+    Err(problems.join("; "))
+}
+
 /// The fleet's record, joined from the files of a folder.
 pub fn read_record(folder: &Path) -> Result<record::Joined, String> {
     let failed = |path: PathBuf, e: io::Error| format!("{}: {e}", path.display());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! fronts. Fed connections and bytes, gives [`Command`]s.
 
 mod http;
+mod ruled;
 mod servers;
 mod viewers;
 
@@ -76,6 +77,8 @@
     attempts: u64,
     /// What is told of each request, where that is asked for.
     tracer: Option<Tracer>,
+    /// The rules that the brokers agree on, once there are any.
+    ruled: Option<ruled::Ruled>,
 }
 
 /// What the settings name the `i`th of a list; nothing if there is none.
@@ -108,6 +111,7 @@
             refusals: 0,
             attempts: 0,
             tracer: None,
+            ruled: None,
         }
     }
 
@@ -239,6 +243,9 @@
             let class = (named(&self.names.classes, request.class), most);
             tracer.asked(now, &request, class, named(&self.names.tenants, request.tenant));
         }
+        if let Err(wait) = self.let_through(now, &request) {
+            return self.carry_out(now, Effect::Refused(request.id, wait), out);
+        }
         if let Some(hook) = &mut self.hook {
             let (class, tenant) =
                 (named(&self.names.classes, request.class), named(&self.names.tenants, request.tenant));
--- /dev/null
+++ b/src/node/ruled.rs
@@ -0,0 +1,102 @@
+//! The rules that the brokers agree on, at one of them: limits are looked at for each request, and barred servers get
+//! nothing new, whatever lists say.
+
+use std::collections::BTreeMap;
+
+use super::{Node, named};
+use crate::api::*;
+use crate::broker::Input;
+use crate::faults;
+use crate::peers::Boot;
+use crate::platform::links::Command;
+use crate::rules::gate::Gate;
+use crate::rules::standing::{Ruling, Standing, Sure};
+
+/// What a node knows of its rules.
+#[derive(Default)]
+pub(super) struct Ruled {
+    standing: Standing,
+    gate: Gate,
+    boot: Boot,
+    /// Barred servers, as the lists have them.
+    barred: BTreeMap<ServerId, ServerEntry>,
+}
+
+impl Node {
+    /// Whether there are rules to go by.
+    pub fn has_rules(&self) -> bool {
+        self.ruled.is_some()
+    }
+
+    /// The moment on the clock by which rules count, as it is now.
+    pub fn set_boot(&mut self, boot: Boot) {
+        if let Some(ruled) = &mut self.ruled {
+            ruled.boot = boot;
+        }
+    }
+
+    /// What this broker acts on from now on.
+    pub fn ruled(&mut self, now: Micros, standing: Standing, out: &mut Vec<Command>) {
+        let ruled = self.ruled.get_or_insert_with(Ruled::default);
+        ruled.standing = standing;
+        let listed = self.broker.listed();
+        let mut changes = Vec::new();
+        for entry in listed {
+            let bars = ruled.standing.bars(&entry.id.to_string());
+            match (bars, ruled.barred.contains_key(&entry.id)) {
+                (true, false) => {
+                    ruled.barred.insert(entry.id.clone(), entry.clone());
+                    changes.push(ServerEntry { state: entry.state.barred(), ..entry });
+                }
+                (false, true) => changes.extend(ruled.barred.remove(&entry.id)),
+                _ => {}
+            }
+        }
+        if !changes.is_empty() {
+            self.tell(now, Input::Servers { kind: ListKind::Changes, servers: changes }, out);
+        }
+    }
+
+    /// Entries of a list as the rules let them be.
+    pub(super) fn allowed(&mut self, servers: Vec<ServerEntry>) -> Vec<ServerEntry> {
+        let Some(ruled) = &mut self.ruled else { return servers };
+        let mut allowed = Vec::with_capacity(servers.len());
+        for entry in servers {
+            if entry.state == ServerState::Gone || !ruled.standing.bars(&entry.id.to_string()) {
+                ruled.barred.remove(&entry.id);
+                allowed.push(entry);
+            } else {
+                ruled.barred.insert(entry.id.clone(), entry.clone());
+                allowed.push(ServerEntry { state: entry.state.barred(), ..entry });
+            }
+        }
+        allowed
+    }
+
+    /// Whether a request is let through, or how long it is to wait.
+    pub(super) fn let_through(&mut self, now: Micros, request: &Request) -> Result<(), Micros> {
+        let Some(ruled) = &mut self.ruled else { return Ok(()) };
+        let tenant = named(&self.names.tenants, request.tenant);
+        let class = named(&self.names.classes, request.class);
+        let ruling = ruled.standing.ruling(ruled.boot, tenant, class);
+        if cfg!(feature = "trials") {
+            // By the clock that all processes of a trial share.
+            let at = (ruled.boot.0 as f64 / faults::figure("clock-rate").unwrap_or(1.0)) as u64;
+            let held = |state: &str, version: u64| {
+                let per_s = match ruling {
+                    Ruling::Free => "free".to_owned(),
+                    Ruling::Limit { per_s, .. } => per_s.to_string(),
+                    Ruling::Refuse(_) => "refuse".to_owned(),
+                };
+                format!("rules.held at={at} class={class} state={state} version={version} per_s={per_s}")
+            };
+            self.log.push(match ruled.standing.sure(ruled.boot) {
+                Sure::None => held("none", 0),
+                Sure::Fresh(version) => held("fresh", version),
+                Sure::Between(version, _) => held("between", version),
+                Sure::Unsure(version) => held("unsure", version),
+            });
+        }
+        ruled.gate.ask(now, request.tenant, request.class, ruling)
+    }
+}
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -85,6 +85,7 @@
             self.tell(now, Input::Lost(server), out);
         }
         let servers: Vec<ServerEntry> = news.servers.into_iter().map(|l| l.entry).collect();
+        let servers = self.allowed(servers);
         if let Some(tracer) = &mut self.tracer {
             tracer.listed(&servers);
             if news.kind == ListKind::Complete {
--- a/src/quorum/agree.rs
+++ b/src/quorum/agree.rs
@@ -12,8 +12,8 @@
 use super::VoterId;
 use super::book::{Book, Change, Entry};
 use super::council::Council;
-use super::mutant::{self, Mutant};
 use super::store::Store;
+use crate::mutant::{self, Mutant};
 
 /// A message between voters.
 pub type Paxos = Message<Entry>;
--- a/src/quorum/book.rs
+++ b/src/quorum/book.rs
@@ -6,9 +6,10 @@
 use omnipaxos::storage::{Entry as Logged, Snapshot};
 use serde::{Deserialize, Serialize};
 
-use super::mutant::{self, Mutant};
 use super::{Duty, Epoch, Name, Process, Reign, VoterId};
 use crate::api::Micros;
+use crate::mutant::{self, Mutant};
+use crate::rules::version::{Ruled, Version};
 
 /// Ends of leases that are remembered, for operators.
 const HISTORY: usize = 64;
@@ -81,6 +82,29 @@
         /// Which.
         process: Process,
     },
+    /// A version of the rules is announced.
+    Announce {
+        /// Under which reign this was proposed.
+        reign: Reign,
+        /// Which.
+        version: Box<Version>,
+    },
+    /// The announced version is in force.
+    Enforce {
+        /// Under which reign this was proposed.
+        reign: Reign,
+        /// Its number.
+        number: u64,
+    },
+    /// The announced version comes to nothing.
+    Withdraw {
+        /// Under which reign this was proposed.
+        reign: Reign,
+        /// Its number.
+        number: u64,
+        /// Why.
+        why: String,
+    },
 }
 
 /// A lease as the log knows it. When it ends is nobody's to read here: the holder and the leader each count.
@@ -120,6 +144,12 @@
     Joined(Process),
     /// A process is no longer counted.
     Left(Process),
+    /// A version of the rules is announced.
+    Announced(u64),
+    /// It is in force.
+    Enforced(u64),
+    /// It was withdrawn, and why.
+    Withdrawn(u64, String),
     /// Nothing: the entry came from a reign that is over, or says what no longer holds.
     Void,
 }
@@ -141,6 +171,8 @@
     pub version: u64,
     /// The last leases that ended, oldest first.
     pub past: VecDeque<Past>,
+    /// The rules.
+    pub rules: Ruled,
 }
 
 impl Book {
@@ -188,6 +220,17 @@
                 self.version += 1;
                 return Change::Left(process.clone());
             }
+            Entry::Announce { reign, version } if self.stands(*reign) && self.rules.announce(version) => {
+                return Change::Announced(version.number);
+            }
+            Entry::Enforce { reign, number } if self.stands(*reign) && self.rules.enforce(*number) => {
+                return Change::Enforced(*number);
+            }
+            Entry::Withdraw { reign, number, why }
+                if self.stands(*reign) && self.rules.withdraw(*number, why) =>
+            {
+                return Change::Withdrawn(*number, why.clone());
+            }
             _ => {}
         }
         Change::Void
--- a/src/quorum/founding.rs
+++ b/src/quorum/founding.rs
@@ -9,7 +9,7 @@
 
 use super::VoterId;
 use super::journal::Roster;
-use super::mutant::{self, Mutant};
+use crate::mutant::{self, Mutant};
 
 /// What a voter says of its folder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/quorum/frame.rs
+++ b/src/quorum/frame.rs
@@ -8,9 +8,11 @@
 use super::agree::{Confirm, Paxos};
 use super::council::{Offer, Tenure, Unreplaced};
 use super::founding::{Barred, Papers};
-use super::view::{Fleet, Status, View};
+use super::view::{Fleet, RulesStatus, Status, View};
 use super::{Duty, Epoch, Name, Process, Reign, VoterId};
 use crate::api::Micros;
+use crate::rules::standing::Word;
+use crate::rules::version::{Proposal, Unproposed};
 
 /// The format of links, journal and book. What another speaks is refused by its number.
 pub const FORMAT: u16 = 2;
@@ -53,6 +55,8 @@
     pub council: u32,
     /// It would vote.
     pub offer: Option<Offer>,
+    /// The version of the rules that it knows to be in force, the last it has accepted, and one that it can't use.
+    pub rules: (u64, u64, Option<(u64, String)>),
 }
 
 /// The answer to a beat, by a leader that a majority has followed since the beat came in.
@@ -76,6 +80,8 @@
     pub fleet: Option<Fleet>,
     /// Another process of this name started later.
     pub twin: bool,
+    /// The rules.
+    pub rules: Word,
 }
 
 /// Why a connection is refused.
@@ -163,6 +169,18 @@
     Replace(Name, Name),
     /// The number of the council that was proposed, or why none was.
     Replacing(Result<u32, Unreplaced>),
+    /// A command proposes a document of rules.
+    Propose(Box<Proposal>),
+    /// The number under which it is announced, or why it is not.
+    Proposed(Result<u64, Unproposed>),
+    /// A command asks for the announced version to be withdrawn.
+    Abort(u64),
+    /// Whether that was proposed.
+    Aborting(bool),
+    /// A command asks for the rules.
+    Rules,
+    /// The rules, and who acts on what.
+    RulesAre(Box<RulesStatus>),
 }
 
 /// Why bytes are no frame.
--- a/src/quorum/holder.rs
+++ b/src/quorum/holder.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::frame::Told;
-use super::mutant::{self, Mutant};
 use super::{Boot, Duty, Epoch, Setup};
+use crate::mutant::{self, Mutant};
 
 /// Beats whose moment of sending is remembered; an answer to an older one is of no use.
 const SENT: usize = 64;
@@ -66,10 +66,15 @@
         }
     }
 
+    /// When a beat was sent, if that is remembered.
+    pub fn sent_at(&self, seq: u64) -> Option<Boot> {
+        self.sent.iter().find(|(known, _)| *known == seq).map(|(_, at)| *at)
+    }
+
     /// A beat was answered.
     pub fn told(&mut self, now: Boot, told: &Told, setup: &Setup) -> Vec<News> {
         let mut news = self.expire(now);
-        let sent = self.sent.iter().find(|(seq, _)| *seq == told.seq).map(|(_, at)| *at);
+        let sent = self.sent_at(told.seq);
         let Some(sent) = sent.filter(|_| told.seq > self.heard) else { return news };
         self.heard = told.seq;
         for (duty, epoch, length) in &told.holds {
@@ -176,6 +181,7 @@
             drift: 0.1,
             stuck: Micros(9000),
             gone: Micros(3000),
+            fresh: Micros(1_900_000),
             fronts: None,
             duties: Vec::new(),
             record: None,
@@ -195,6 +201,7 @@
             view: None,
             fleet: None,
             twin: false,
+            rules: Default::default(),
         }
     }
 
--- a/src/quorum/journal.rs
+++ b/src/quorum/journal.rs
@@ -11,9 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::council::Tenure;
-use super::mutant::{self, Mutant};
 use super::store::{Op, State};
 use super::{Name, VoterId};
+use crate::mutant::{self, Mutant};
 
 /// How a journal begins; the digit is the format.
 pub const MAGIC: &[u8] = b"amberspindle quorum journal 2\n";
--- a/src/quorum/ledger.rs
+++ b/src/quorum/ledger.rs
@@ -7,10 +7,14 @@
 use super::book::{Book, Change, Ended, Entry};
 use super::council::{Council, Offer};
 use super::frame::{Beat, Counts, Told};
-use super::mutant::{self, Mutant};
-use super::view::{Fleet, Mate, View};
+use super::view::{ActingStatus, Fleet, Mate, View};
 use super::{Boot, Duty, Epoch, Name, Process, RECORD, Reign, Setup, VoterId};
 use crate::api::Micros;
+use crate::mutant::{self, Mutant};
+use crate::rules::document::Rules;
+use crate::rules::force::Forcing;
+use crate::rules::standing::Word;
+use crate::rules::version::{Proposal, Unproposed, Version};
 
 /// A proposal that has come to nothing for so long is made again.
 const AGAIN: Micros = Micros(1_000_000);
@@ -78,6 +82,10 @@
     round: Option<Round>,
     rounds: u64,
     confirmed_at: Option<Boot>,
+    /// Who acts on which version of the rules.
+    forcing: Forcing,
+    /// The number of a version that is on its way into the log: what this leader proposes is lost with its reign only.
+    announcing: Option<u64>,
 }
 
 impl Ledger {
@@ -109,6 +117,8 @@
             round: None,
             rounds: 0,
             confirmed_at: None,
+            forcing: Forcing::new(now, setup.fresh, setup.drift_of(setup.fresh)),
+            announcing: None,
         };
         for (duty, lease) in &book.duties {
             let wait = lease.length + setup.drift_of(lease.length);
@@ -162,6 +172,8 @@
                 heard.progress.insert(duty.clone(), (*epoch, *count, now));
             }
         }
+        let (_, accepted, refused) = &beat.rules;
+        self.forcing.heard(&beat.process, *accepted, refused.as_ref());
         for (duty, epoch) in &beat.gives {
             if book.duties.get(duty).is_some_and(|l| l.epoch == *epoch && l.holder == beat.process) {
                 self.closing.insert(duty.clone(), (*epoch, Ended::Released));
@@ -222,7 +234,87 @@
         };
         let back = holds.iter().filter_map(back).collect();
         let fleet = holds.iter().any(|(duty, _, _)| duty.0 == RECORD).then(|| self.fleet(now));
-        Told { back, fleet, ..self.told(beat, holds, book) }
+        let rules = self.word(now, beat, book);
+        Told { back, fleet, rules, ..self.told(beat, holds, book) }
+    }
+
+    /// What a process is told of the rules: it may go by them for a while from when it asked.
+    fn word(&mut self, now: Boot, beat: &Beat, book: &Book) -> Word {
+        let ruled = &book.rules;
+        if ruled.last == 0 {
+            return Word::default();
+        }
+        let (force, accepted, _) = &beat.rules;
+        self.forcing.answered(now, &beat.process, *accepted, ruled.force());
+        let lacks = |v: &&Version| v.number != *force && v.number != *accepted;
+        Word {
+            force: ruled.force(),
+            announced: ruled.announced(),
+            versions: [&ruled.force, &ruled.announced].into_iter().flatten().filter(lacks).cloned().collect(),
+            last: ruled.last,
+            fresh: self.setup.fresh,
+        }
+    }
+
+    /// Brings the announced version into force, or withdraws it if somebody can't use it.
+    fn rules(&mut self, now: Boot, book: &Book, entries: &mut Vec<Entry>) {
+        let (reign, number) = (self.reign, book.rules.announced());
+        let refused =
+            self.forcing.refusal(&book.rules).map(|(process, why)| format!("{}: {why}", process.name));
+        if let Some(why) = refused {
+            if self.due(now, format!("rules {number}")) {
+                entries.push(Entry::Withdraw { reign, number, why });
+            }
+        } else if self.forcing.ready(now, &book.rules) && self.due(now, format!("rules {number}")) {
+            entries.push(Entry::Enforce { reign, number });
+        }
+        self.forcing.forget(now);
+    }
+
+    /// A document that is to be announced, if it may be.
+    pub fn propose(&mut self, book: &Book, proposal: Proposal) -> Result<Entry, Unproposed> {
+        let Proposal { text, parent, author, note, at_ms } = proposal;
+        let ruled = &book.rules;
+        if let Some(number) = self.announcing.or(ruled.announced.as_ref().map(|v| v.number)) {
+            return Err(Unproposed::Underway(number));
+        }
+        let force = ruled.force();
+        let parent = parent.unwrap_or(force);
+        if parent != force {
+            return Err(Unproposed::Parent { parent, force });
+        }
+        let wrong = |findings: crate::records::Findings| Unproposed::Wrong(findings.to_string());
+        let rules = Rules::read("", &text).map_err(wrong)?;
+        if let Some(before) = &ruled.force {
+            let old = Rules::read("", &before.text).map_err(wrong)?;
+            if old == rules {
+                return Err(Unproposed::Same(force));
+            }
+            rules.follows(&old, "", &text).map_err(wrong)?;
+        }
+        let digest = Version::digest_of(&text);
+        self.announcing = Some(ruled.last + 1);
+        let version = Version { number: ruled.last + 1, parent, digest, author, at_ms, note, text };
+        Ok(Entry::Announce { reign: self.reign, version: Box::new(version) })
+    }
+
+    /// The withdrawal of the announced version, if it is this one.
+    pub fn abort(&self, book: &Book, number: u64) -> Option<Entry> {
+        let why = "aborted by command".to_owned();
+        let announced = number > 0 && book.rules.announced() == number;
+        announced.then_some(Entry::Withdraw { reign: self.reign, number, why })
+    }
+
+    /// Who acts on what.
+    pub fn acting(&self, now: Boot) -> Vec<ActingStatus> {
+        let one = |(process, told, accepted, left): (&Process, u64, u64, Micros)| ActingStatus {
+            name: process.name.clone(),
+            incarnation: process.incarnation.0,
+            told,
+            accepted,
+            left_ms: left.0 / 1_000,
+        };
+        self.forcing.who(now).map(one).collect()
     }
 
     fn told(&self, beat: &Beat, holds: Vec<(Duty, Epoch, Micros)>, book: &Book) -> Told {
@@ -236,6 +328,7 @@
             view: (beat.version != book.version).then(|| View::of(book)),
             fleet: None,
             twin: false,
+            rules: Word::default(),
         }
     }
 
@@ -299,6 +392,10 @@
             Change::Joined(process) | Change::Left(process) => {
                 self.proposed.remove(&format!("member {}", process.name));
             }
+            Change::Announced(number) | Change::Enforced(number) | Change::Withdrawn(number, _) => {
+                self.proposed.remove(&format!("rules {number}"));
+                self.announcing.take_if(|announcing| announcing == number);
+            }
             Change::Led(..) | Change::Void => {}
         }
     }
@@ -309,6 +406,7 @@
         self.ends(now, book, &mut entries);
         self.grants(now, book, &mut entries);
         self.members(now, book, &mut entries);
+        self.rules(now, book, &mut entries);
         entries
     }
 
@@ -408,11 +506,11 @@
     }
 
     /// When something may be due next, if nothing comes in before.
-    pub fn next(&self) -> Option<Boot> {
+    pub fn next(&self, book: &Book) -> Option<Boot> {
         let open = |duty: &&Duty| !self.closing.contains_key(*duty);
         let ends = self.until.iter().filter(|(duty, _)| open(duty)).map(|(_, (_, until))| *until).min();
         let round = self.round.as_ref().map(|r| r.begun.after(self.setup.election));
-        ends.into_iter().chain(round).min()
+        ends.into_iter().chain(round).chain(self.forcing.next(&book.rules)).min()
     }
 }
 
--- a/src/quorum/ledger/tests.rs
+++ b/src/quorum/ledger/tests.rs
@@ -16,6 +16,7 @@
         drift: 0.1,
         stuck: Micros(5000),
         gone: Micros(3000),
+        fresh: Micros(1_900_000),
         fronts: None,
         duties: Vec::new(),
         record: None,
@@ -33,8 +34,20 @@
 fn beat(of: &Process, seq: u64) -> Beat {
     let (wants, gives, progress) = (vec![(duty(), 1)], Vec::new(), Vec::new());
     let (version, draining, counts) = (0, false, Counts::default());
-    let (council, offer) = (1, None);
-    Beat { process: of.clone(), seq, version, wants, gives, progress, draining, counts, council, offer }
+    let (council, offer, rules) = (1, None, Default::default());
+    Beat {
+        process: of.clone(),
+        seq,
+        version,
+        wants,
+        gives,
+        progress,
+        draining,
+        counts,
+        council,
+        offer,
+        rules,
+    }
 }
 
 /// A book under the reign of voter 1 in which a process may hold the duty.
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -13,12 +13,14 @@
 use super::holder::{Holder, News};
 use super::journal::{self, Identity, Read};
 use super::ledger::{Ledger, Via};
-use super::mutant::{self, Mutant};
 use super::record::{self, Done, Job, Writer};
 use super::store::Store;
-use super::view::{DutyStatus, Fleet, MemberStatus, Status, View, VoterStatus};
+use super::view::{DutyStatus, Fleet, MemberStatus, RulesStatus, Status, View, VoterStatus};
 use super::{Boot, Duty, Epoch, IDLE, Incarnation, Name, Process, RECORD, Setup, VoterId};
 use crate::api::Micros;
+use crate::mutant::{self, Mutant};
+use crate::rules::standing::{Standing, Sure};
+use crate::rules::version::{Proposal, Unproposed};
 
 mod succession;
 
@@ -81,6 +83,8 @@
     Record(Job),
     /// The module is told how many fronts there are.
     Fronts(Fronts),
+    /// What this process acts on, from now on.
+    Rules(Standing),
     /// Something to tell in the log.
     Tell(Event),
 }
@@ -108,6 +112,8 @@
     Changed(u64, Change),
     /// A connection was refused, by whom and why.
     Refused(String, Refused),
+    /// How sure this process is of its rules.
+    Sure(Sure),
     /// A line of the record was not written.
     Unrecorded(Epoch, Done),
 }
@@ -166,6 +172,9 @@
     beat_at: Boot,
     view: View,
     crowd: Option<Crowd>,
+    standing: Standing,
+    /// How sure it was when that was told last.
+    sure: Sure,
     fleet: Fleet,
     leader: Option<VoterId>,
     counts: Counts,
@@ -203,6 +212,8 @@
             asked_since: now,
             beat_at: now,
             view: View::default(),
+            standing: Standing::default(),
+            sure: Sure::None,
             crowd: setup.fronts.map(|settle| Crowd::new(setup.name.clone(), settle)),
             fleet: Fleet::new(),
             leader: None,
@@ -358,14 +369,17 @@
     /// When [`Input::Tick`] is wanted next.
     pub fn next(&self) -> Boot {
         let seat = self.seat.as_ref();
-        let ledger = seat.and_then(|s| s.ledger.as_ref()).and_then(Ledger::next);
+        let led = seat.and_then(|s| s.ledger.as_ref().zip(s.agree.as_ref()));
+        let ledger = led.and_then(|(ledger, agree)| ledger.next(agree.book()));
+        let doubt = self.standing.until().filter(|_| !matches!(self.sure, Sure::None | Sure::Unsure(_)));
         let acts = self.holder.holds().filter_map(|(duty, _)| match duty.0.as_str() {
             RECORD => self.writer.due(),
             _ => Some(self.idle_at),
         });
         let look = seat.filter(|s| s.agree.is_some()).map(|s| s.look_at);
         let crowd = self.crowd.as_ref().and_then(Crowd::next);
-        let other = ledger.into_iter().chain(crowd).chain(acts).chain(look).chain(self.holder.next());
+        let other =
+            ledger.into_iter().chain(doubt).chain(crowd).chain(acts).chain(look).chain(self.holder.next());
         other.fold(self.beat_at, Boot::min)
     }
 
@@ -443,6 +457,23 @@
             (Frame::Paxos(council, _), _) => self.inform(conn, council, out),
             (Frame::Confirm(_) | Frame::Confirmed(_) | Frame::Written(_), None) => {}
             (Frame::Council(tenure), _) => self.succeed(*tenure, out),
+            (Frame::Propose(proposal), _) => {
+                let done = self.propose(*proposal, out);
+                out.push(Out::Reply(conn, Frame::Proposed(done)));
+            }
+            (Frame::Abort(number), _) => {
+                let seat = self.seat.as_ref();
+                let led = seat.and_then(|s| s.ledger.as_ref().zip(s.agree.as_ref()));
+                let entry = led.and_then(|(ledger, agree)| ledger.abort(agree.book(), number));
+                out.push(Out::Reply(conn, Frame::Aborting(entry.is_some())));
+                if let Some(entry) = entry {
+                    self.agreeing(out, |agree| agree.propose(entry));
+                }
+            }
+            (Frame::Rules, _) => {
+                let status = self.rules_status(now);
+                out.push(Out::Reply(conn, Frame::RulesAre(Box::new(status))));
+            }
             (Frame::Replace(gone, new), _) => {
                 let done = self.replace(now, &gone, &new, out);
                 out.push(Out::Reply(conn, Frame::Replacing(done)));
@@ -612,6 +643,28 @@
         }
     }
 
+    /// A document of rules is to be announced.
+    fn propose(&mut self, proposal: Proposal, out: &mut Vec<Out>) -> Result<u64, Unproposed> {
+        let seat = self.seat.as_mut();
+        let led = seat.and_then(|s| s.ledger.as_mut().zip(s.agree.as_ref()));
+        let (ledger, agree) = led.ok_or(Unproposed::NotLeading)?;
+        let number = agree.book().rules.last + 1;
+        let entry = ledger.propose(agree.book(), proposal)?;
+        self.agreeing(out, |agree| agree.propose(entry));
+        Ok(number)
+    }
+
+    fn rules_status(&self, now: Boot) -> RulesStatus {
+        let seat = self.seat.as_ref();
+        let ledger = seat.and_then(|s| s.ledger.as_ref());
+        RulesStatus {
+            member: self.setup.name.clone(),
+            confirmed: ledger.is_some_and(|l| l.confirmed_within(now, self.setup.lease)),
+            ruled: seat.and_then(|s| s.agree.as_ref()).map(|a| a.book().rules.clone()).unwrap_or_default(),
+            who: ledger.map(|l| l.acting(now)).unwrap_or_default(),
+        }
+    }
+
     // ---- Agreement.
 
     fn agreeing(&mut self, out: &mut Vec<Out>, act: impl FnOnce(&mut Agree) -> Result<(), Broken>) {
@@ -629,6 +682,11 @@
         }
         let fronts = self.crowd.as_mut().and_then(|crowd| crowd.look(now, &self.view));
         out.extend(fronts.map(Out::Fronts));
+        let sure = self.standing.sure(now);
+        if sure != self.sure {
+            self.sure = sure;
+            out.push(Out::Tell(Event::Sure(sure)));
+        }
         self.act(now, out);
         if now >= self.beat_at {
             self.beat(now, out);
@@ -828,6 +886,7 @@
             counts: self.counts,
             council: self.council.number,
             offer: self.offer(),
+            rules: self.standing.says(),
         };
         if Some(self.target) == self.seat.as_ref().map(|s| s.me) {
             self.beaten(now, Via::Own, beat, false, out);
@@ -856,6 +915,17 @@
             }
         }
         self.leader = told.leader.or(self.leader);
+        if let Some(sent) = self.holder.sent_at(told.seq) {
+            let before = self.standing.clone();
+            self.standing.told(sent, now, &told.rules, self.setup.drift_of(told.rules.fresh));
+            // The leader waits for those that have not accepted yet: it hears at once.
+            if self.standing.says() != before.says() {
+                self.beat_at = now;
+            }
+            if self.standing != before {
+                out.push(Out::Rules(self.standing.clone()));
+            }
+        }
         for news in self.holder.told(now, &told, &self.setup) {
             self.news(news, out);
         }
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -20,7 +20,6 @@
 pub mod journal;
 pub mod ledger;
 pub mod machine;
-pub mod mutant;
 pub mod queue;
 pub mod record;
 pub mod store;
@@ -33,49 +32,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::Micros;
+use crate::mutant;
+pub use crate::peers::{Boot, Incarnation, Name, Process};
 
 pub use machine::{Input, Machine, Out};
 
-/// A moment on the clock that runs since the machine started, also while it sleeps; in microseconds. Moments of
-/// two machines can't be compared.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Boot(pub u64);
-
-impl Boot {
-    /// The moment a span later.
-    pub fn after(self, span: Micros) -> Boot {
-        Boot(self.0.saturating_add(span.0))
-    }
-
-    /// The span since an earlier moment; zero if that is later.
-    pub fn since(self, earlier: Boot) -> Micros {
-        Micros(self.0.saturating_sub(earlier.0))
-    }
-}
-
-/// A process by the name in its file.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Name(pub String);
-
-impl fmt::Display for Name {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-/// One run of a process: the Unix time of its start in microseconds, so that a later one is greater.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Incarnation(pub u64);
-
-/// A process in one of its runs. Leases belong to this, not to a name.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
-    /// Its name.
-    pub name: Name,
-    /// Which run.
-    pub incarnation: Incarnation,
-}
-
 /// What one process may hold at a time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Duty(pub String);
@@ -140,6 +101,8 @@
     pub stuck: Micros,
     /// A member that was silent for so long is no longer counted.
     pub gone: Micros,
+    /// How long a process goes by its rules from the sending of the beat whose answer says that they count.
+    pub fresh: Micros,
     /// Fronts that went count for so long still in what the module is told; none: it is told what the file says.
     pub fronts: Option<Micros>,
     /// Duties that this process takes, with how much of them.
--- a/src/quorum/store.rs
+++ b/src/quorum/store.rs
@@ -28,7 +28,7 @@
     /// The index up to which the snapshot reaches.
     Compacted(u64),
     /// What the entries before that index made.
-    Snapshot(Option<Folded>),
+    Snapshot(Option<Box<Folded>>),
     /// The end of a configuration.
     StopSign(Option<StopSign>),
 }
@@ -76,14 +76,14 @@
                 self.first = self.first.max(*index);
             }
             Op::Compacted(index) => self.compacted = *index,
-            Op::Snapshot(snapshot) => self.snapshot = snapshot.clone(),
+            Op::Snapshot(snapshot) => self.snapshot = snapshot.as_deref().cloned(),
             Op::StopSign(sign) => self.stop_sign = sign.clone(),
         }
     }
 
     /// Changes that make this state from nothing.
     pub fn as_ops(&self) -> Vec<Op> {
-        let mut ops = vec![Op::Snapshot(self.snapshot.clone()), Op::Compacted(self.compacted)];
+        let mut ops = vec![Op::Snapshot(self.snapshot.clone().map(Box::new)), Op::Compacted(self.compacted)];
         ops.push(Op::AppendFrom(self.first, self.log.clone()));
         ops.extend(self.promise.map(Op::Promise));
         ops.extend(self.accepted.map(Op::Accepted));
@@ -154,7 +154,7 @@
                 StorageOp::SetCompactedIdx(index) => Op::Compacted(index as u64),
                 StorageOp::Trim(index) => Op::Trim(index as u64),
                 StorageOp::SetStopsign(sign) => Op::StopSign(sign),
-                StorageOp::SetSnapshot(snapshot) => Op::Snapshot(snapshot),
+                StorageOp::SetSnapshot(snapshot) => Op::Snapshot(snapshot.map(Box::new)),
             });
         }
         Ok(())
@@ -250,7 +250,7 @@
     }
 
     fn set_snapshot(&mut self, snapshot: Option<Folded>) -> StorageResult<()> {
-        self.change(Op::Snapshot(snapshot));
+        self.change(Op::Snapshot(snapshot.map(Box::new)));
         Ok(())
     }
 
--- a/src/quorum/view.rs
+++ b/src/quorum/view.rs
@@ -6,6 +6,7 @@
 use super::frame::Counts;
 use super::{Duty, Epoch, Name, Process, Reign};
 use crate::api::Micros;
+use crate::rules::version::Ruled;
 
 /// Who is there and who holds what, as agreed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +80,34 @@
     pub silent_ms: Option<u64>,
 }
 
+/// A process and the rules it acts on, as the leader hears of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ActingStatus {
+    /// Which.
+    pub name: Name,
+    /// Which run of it.
+    pub incarnation: u64,
+    /// The version that it was told last to be in force.
+    pub told: u64,
+    /// The last that it has accepted.
+    pub accepted: u64,
+    /// How long it may act on what it was told at most.
+    pub left_ms: u64,
+}
+
+/// The rules as an operator sees them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RulesStatus {
+    /// The process that answers.
+    pub member: Name,
+    /// Whether it leads, confirmed by a majority within the last lease.
+    pub confirmed: bool,
+    /// What the log says.
+    pub ruled: Ruled,
+    /// Who acts on what; only the leader knows.
+    pub who: Vec<ActingStatus>,
+}
+
 /// How things stand.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -316,6 +316,11 @@
     #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 3_600_000))))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gone_ms: Option<u64>,
+    /// Milliseconds for which two processes may act on versions of the rules that contradict each other; 2,000 if left
+    /// out. See `docs/rules.md`.
+    #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 100, 3_600_000))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub skew_ms: Option<u64>,
     /// The module is told as many fronts as there are members, and its place among them, in place of `Instances` and
     /// `SlotNo` of the settings.
     #[garde(skip)]
@@ -411,6 +416,14 @@
             push("quorum.settle_ms".into(), "needs fronts = true");
         }
         let lease = self.lease_ms.unwrap_or(2_000);
+        // An answer must come before the freshness of the one before is over, also when one is lost.
+        let beat = self.beat_ms.unwrap_or((lease / 5).max(20));
+        let least = (beat * 3) as f64 * (1.0 + self.drift.unwrap_or(0.01)).powi(2);
+        if (self.skew_ms.unwrap_or(2_000) as f64) < least {
+            let why =
+                format!("shorter than rules can be renewed: {} would do, or a shorter beat_ms", least.ceil());
+            push("quorum.skew_ms".into(), &why);
+        }
         if self.beat_ms.is_some_and(|beat| beat * 2 > lease) {
             push("quorum.beat_ms".into(), "more than half a lease: one lost beat would lose the lease");
         }
--- /dev/null
+++ b/src/rules/standing.rs
@@ -0,0 +1,209 @@
+//! What one process acts on at an instant: the version in force while it is fresh, the stricter of that and the
+//! announced one once it has accepted that, and what the document says of those who no longer know.
+
+use std::rc::Rc;
+
+use super::document::{Limit, Rules, WhenUnsure};
+use super::version::Version;
+use crate::api::Micros;
+use crate::mutant::{self, Mutant};
+use crate::peers::Boot;
+
+/// What a leader tells with its answer to a beat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Word {
+    /// The number in force; 0: none.
+    pub force: u64,
+    /// The number that is announced; 0: none.
+    pub announced: u64,
+    /// Those of the two that the process has not got.
+    pub versions: Vec<Version>,
+    /// The last number that was given out: it tells older words from newer ones.
+    pub last: u64,
+    /// How long the process may go by this from the sending of its beat; 0: there are no rules.
+    pub fresh: Micros,
+}
+
+/// A version that was read.
+#[derive(Clone, Debug, PartialEq)]
+struct Known {
+    number: u64,
+    rules: Rc<Rules>,
+}
+
+/// What a request of a tenant and a class is held to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ruling {
+    /// Nothing.
+    Free,
+    /// So many a second at this front; what is beyond that is told to wait.
+    Limit {
+        /// How many.
+        per_s: u32,
+        /// For so long.
+        wait: Micros,
+    },
+    /// Refused; it may come again after so long.
+    Refuse(Micros),
+}
+
+/// How sure a process is of its rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sure {
+    /// No rules were ever heard of.
+    None,
+    /// The version of this number is in force.
+    Fresh(u64),
+    /// It may be: the next one is accepted.
+    Between(u64, u64),
+    /// Nobody has said so for too long.
+    Unsure(u64),
+}
+
+/// One process's rules.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Standing {
+    force: Option<Known>,
+    accepted: Option<Known>,
+    refused: Option<(u64, String)>,
+    last: u64,
+    until: Option<Boot>,
+}
+
+fn read(version: &Version) -> Result<Known, String> {
+    if Version::digest_of(&version.text) != version.digest {
+        return Err("its digest is another's".to_owned());
+    }
+    let rules = Rules::read(&format!("version {}", version.number), &version.text);
+    rules
+        .map(|rules| Known { number: version.number, rules: Rc::new(rules) })
+        .map_err(|findings| findings.to_string())
+}
+
+impl Standing {
+    /// The number of the version in force as last told, of the accepted one (0: none), and of a refused one.
+    pub fn says(&self) -> (u64, u64, Option<(u64, String)>) {
+        let number = |known: &Option<Known>| known.as_ref().map_or(0, |k| k.number);
+        (number(&self.force), number(&self.accepted).max(number(&self.force)), self.refused.clone())
+    }
+
+    /// A beat that was sent at a moment is answered. What is announced is accepted in this very step, before
+    /// anything is decided under the freshness that the same answer gives.
+    pub fn told(&mut self, sent: Boot, now: Boot, word: &Word, drift: Micros) {
+        if word.fresh == Micros(0) {
+            return;
+        }
+        let own = self.says().0;
+        // What is older than what was heard already says nothing, not even that this process is fresh: it may be of a
+        // leader that was followed before the announcement.
+        if word.force < own || word.last < self.last {
+            return;
+        }
+        self.last = word.last;
+        let mut known: Vec<Known> = self.force.take().into_iter().chain(self.accepted.take()).collect();
+        for version in &word.versions {
+            match read(version) {
+                Ok(read) => known.push(read),
+                Err(why) => self.refused = Some((version.number, why)),
+            }
+        }
+        let find = |number: u64| known.iter().find(|k| k.number == number).cloned();
+        self.force = find(word.force).or_else(|| known.iter().find(|k| k.number == own).cloned());
+        self.accepted = find(word.announced).filter(|k| k.number > word.force);
+        if self.refused.as_ref().is_some_and(|(number, _)| *number != word.announced && *number != word.force)
+        {
+            self.refused = None;
+        }
+        // What can't be read can't be gone by: this process is unsure then, and says why.
+        if self.says().0 != word.force {
+            self.until = None;
+            return;
+        }
+        let from = if mutant::on(Mutant::FreshFromReceipt) { now } else { sent };
+        let until = from.after(Micros(word.fresh.0.saturating_sub(drift.0)));
+        self.until = Some(self.until.map_or(until, |known| known.max(until)));
+    }
+
+    /// How sure it is at an instant.
+    pub fn sure(&self, now: Boot) -> Sure {
+        let force = self.says().0;
+        let fresh = self.until.is_some_and(|until| now < until) || mutant::on(Mutant::FreshForGood);
+        match (&self.accepted, self.until) {
+            (None, None) if self.force.is_none() => Sure::None,
+            (Some(accepted), Some(_)) if fresh => Sure::Between(force, accepted.number),
+            (None, Some(_)) if fresh => Sure::Fresh(force),
+            _ => Sure::Unsure(force),
+        }
+    }
+
+    /// When it becomes unsure, if nobody says more.
+    pub fn until(&self) -> Option<Boot> {
+        self.until
+    }
+
+    /// What a request is held to at an instant: by the strictest of all limits that cover it.
+    pub fn ruling(&self, now: Boot, tenant: &str, class: &str) -> Ruling {
+        let sure = self.sure(now);
+        let of = |known: &Option<Known>| -> Vec<Limit> {
+            let covering = known.iter().flat_map(|k| &k.rules.limit).filter(|l| l.covers(tenant, class));
+            covering.cloned().collect()
+        };
+        let (force, accepted) = (of(&self.force), of(&self.accepted));
+        let mut ruling = Ruling::Free;
+        for limit in force.iter().chain(&accepted) {
+            ruling = ruling.stricter(limit.ruled(sure, &force, &accepted));
+        }
+        ruling
+    }
+
+    /// Whether a server gets nothing new: as any version says that is known to be possible.
+    pub fn bars(&self, server: &str) -> bool {
+        [&self.force, &self.accepted].into_iter().flatten().any(|known| known.rules.bars(server))
+    }
+}
+
+impl Limit {
+    /// What it holds a request to, for a process that is so sure; all limits of either version that cover it.
+    fn ruled(&self, sure: Sure, force: &[Limit], accepted: &[Limit]) -> Ruling {
+        let wait = self.wait();
+        let limit = Ruling::Limit { per_s: self.most_per_s, wait };
+        match sure {
+            Sure::None | Sure::Fresh(_) => limit,
+            Sure::Between(..) => {
+                let same = |all: &[Limit]| all.iter().find(|l| l.of() == self.of()).cloned();
+                let (old, new) = (same(force), same(accepted));
+                let exact = old.iter().chain(&new).any(|l| l.never_two);
+                let changed =
+                    old.map(|l| (l.most_per_s, l.never_two)) != new.map(|l| (l.most_per_s, l.never_two));
+                if exact && changed { Ruling::Refuse(wait) } else { limit }
+            }
+            Sure::Unsure(_) if self.never_two => Ruling::Refuse(wait),
+            Sure::Unsure(_) => match self.when_unsure {
+                WhenUnsure::Keep => limit,
+                WhenUnsure::Strictest => Ruling::Limit { per_s: self.least_per_s, wait },
+                WhenUnsure::Refuse => Ruling::Refuse(wait),
+            },
+        }
+    }
+}
+
+impl Ruling {
+    /// The stricter of two.
+    pub fn stricter(self, other: Ruling) -> Ruling {
+        match (self, other) {
+            (Ruling::Free, only) | (only, Ruling::Free) => only,
+            (Ruling::Refuse(a), Ruling::Refuse(b)) => Ruling::Refuse(a.max(b)),
+            (refuse @ Ruling::Refuse(_), _) | (_, refuse @ Ruling::Refuse(_)) => refuse,
+            (Ruling::Limit { per_s: a, .. }, Ruling::Limit { per_s: b, .. }) => {
+                if b < a {
+                    other
+                } else {
+                    self
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -1,7 +1,7 @@
 //! Processes of a quorum without sockets: machines, their journals in memory, and links that are instant. Trials of
 //! real processes are in `trials`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use amberspindle::api::Micros;
 use amberspindle::config::Config;
@@ -14,6 +14,8 @@
 use amberspindle::quorum::machine::Event;
 use amberspindle::quorum::record::Done;
 use amberspindle::quorum::{Boot, Duty, Incarnation, Input, Machine, Name, Out, Setup, Voter, VoterId};
+use amberspindle::rules::standing::{Ruling, Standing, Sure};
+use amberspindle::rules::version::{Proposal, Unproposed};
 
 const VOTERS: u64 = 3;
 const MEMBERS: u64 = 5;
@@ -35,6 +37,7 @@
         drift: 0.05,
         stuck: Micros(60_000_000),
         gone: Micros(3_000_000),
+        fresh: Micros(1_900_000),
         fronts: Some(Micros(1_000_000)),
         duties: vec![(Duty("idle".into()), 1), (Duty("record".into()), 1)],
         record: None,
@@ -56,10 +59,14 @@
     journals: BTreeMap<u64, Vec<u8>>,
     /// Whom each dials, by the number that it has as a voter.
     dials: BTreeMap<(u64, u64), VoterId>,
+    /// Those that reach nobody and are not reached.
+    cut: BTreeSet<u64>,
     /// Links that are up, from a member to a voter.
     links: BTreeMap<(u64, u64), VoterId>,
     travels: VecDeque<Travels>,
     runs: u64,
+    /// What each acts on.
+    rules: BTreeMap<u64, Standing>,
     /// What the module of each was told last.
     fronts: BTreeMap<u64, Fronts>,
     events: Vec<(u64, Event)>,
@@ -72,9 +79,11 @@
             machines: BTreeMap::new(),
             journals: BTreeMap::new(),
             dials: BTreeMap::new(),
+            cut: BTreeSet::new(),
             links: BTreeMap::new(),
             travels: VecDeque::new(),
             runs: 0,
+            rules: BTreeMap::new(),
             fronts: BTreeMap::new(),
             events: Vec::new(),
         };
@@ -104,6 +113,37 @@
         self.travels.retain(|t| !matches!(t, Travels::Wrote(of, _) if *of == n));
     }
 
+    fn cut(&mut self, n: u64) {
+        self.cut.insert(n);
+        let down: Vec<_> = self.links.keys().filter(|(a, b)| *a == n || *b == n).copied().collect();
+        for link in down {
+            self.down(link);
+        }
+    }
+
+    /// Proposes a limit for all, at the leader.
+    fn propose(&mut self, most_per_s: u32) -> Result<u64, Unproposed> {
+        let leader = self.leader().unwrap();
+        self.input(leader, Input::Accepted(99));
+        let text = format!("[[limit]]\nmost_per_s = {most_per_s}\n");
+        let asked = Frame::Propose(Box::new(Proposal { text, ..Proposal::default() }));
+        let mut out = Vec::new();
+        self.machines.get_mut(&leader).unwrap().handle(self.now, Input::Called(99, asked), &mut out);
+        let done = out.iter().find_map(|o| match o {
+            Out::Reply(99, Frame::Proposed(done)) => Some(done.clone()),
+            _ => None,
+        });
+        self.carry_out(leader, out);
+        self.input(leader, Input::Hung(99));
+        done.unwrap()
+    }
+
+    /// What each is held to now.
+    fn held(&self) -> BTreeMap<u64, (Sure, Ruling)> {
+        let of = |(n, s): (&u64, &Standing)| (*n, (s.sure(self.now), s.ruling(self.now, "", "")));
+        self.rules.iter().map(of).collect()
+    }
+
     fn down(&mut self, (from, to): (u64, u64)) {
         let Some(id) = self.links.remove(&(from, to)) else { return };
         self.travels.retain(|t| match t {
@@ -169,6 +209,9 @@
                 Out::Fronts(fronts) => {
                     self.fronts.insert(n, fronts);
                 }
+                Out::Rules(standing) => {
+                    self.rules.insert(n, standing);
+                }
                 Out::Tell(event) => self.events.push((n, event)),
             }
         }
@@ -180,7 +223,8 @@
         while self.now < until {
             self.now = Boot(self.now.0 + 10_000);
             for ((from, to), id) in self.dials.clone() {
-                if self.machines.contains_key(&to) && !self.links.contains_key(&(from, to)) {
+                let cut = self.cut.contains(&from) || self.cut.contains(&to);
+                if !cut && self.machines.contains_key(&to) && !self.links.contains_key(&(from, to)) {
                     self.links.insert((from, to), id);
                     self.input(to, Input::Accepted(from));
                     self.input(from, Input::Up(id));
@@ -424,6 +468,58 @@
     assert_eq!(world.fronts[&5].count, 4, "nobody can agree on anything else");
 }
 
+fn per_s(held: &BTreeMap<u64, (Sure, Ruling)>) -> Vec<u32> {
+    let of = |(_, ruling): &(Sure, Ruling)| match ruling {
+        Ruling::Limit { per_s, .. } => *per_s,
+        Ruling::Free => u32::MAX,
+        Ruling::Refuse(_) => 0,
+    };
+    held.values().map(of).collect()
+}
+
+/// A limit is made tighter and looser while one process is cut off and the leader dies: nobody lets more through than
+/// another that is sure does for longer than the time set, and the cut off one lets nothing through once it can't know.
+#[test]
+fn rules_come_into_force_everywhere_and_nobody_cut_off_goes_on_with_old_ones() {
+    let mut world = World::new();
+    world.pass(5_000_000);
+    assert_eq!(world.propose(50), Ok(1));
+    assert_eq!(world.propose(60), Err(Unproposed::Underway(1)));
+    world.pass(3_000_000);
+    assert_eq!(per_s(&world.held()), [50; 5]);
+    assert_eq!(world.propose(50), Err(Unproposed::Same(1)));
+    world.cut(5);
+    assert_eq!(world.propose(20), Ok(2));
+    let mut tighter = None;
+    let mut overlap = 0;
+    while world.held()[&5].0 != Sure::Unsure(1) {
+        world.pass(10_000);
+        let held = per_s(&world.held());
+        if held[0] == 20 {
+            let since = *tighter.get_or_insert(world.now);
+            overlap = world.now.since(since).0;
+        }
+        let force = world.leader().map_or(0, |n| world.rules[&n].says().0);
+        assert!(force < 2 || held[4] != 50, "in force while one goes by the old");
+    }
+    assert!(overlap > 0 && overlap <= 2_000_000, "{overlap}");
+    assert_eq!(per_s(&world.held())[4], 0, "strictest, and no least is known");
+    // The leader dies between announcement and force.
+    world.pass(500_000);
+    assert_eq!(world.propose(40), Ok(3));
+    let leader = world.leader().unwrap();
+    world.pass(10_000);
+    world.kill(leader);
+    world.rules.remove(&leader);
+    world.pass(6_000_000);
+    let held = per_s(&world.held());
+    assert!(held[..3].iter().all(|p| *p == 40) && held[3] == 0, "{held:?}");
+    world.cut.clear();
+    world.start(leader);
+    world.pass(4_000_000);
+    assert_eq!(per_s(&world.held()), [40; 5]);
+}
+
 #[test]
 fn what_keeps_a_voter_from_being_replaced_is_said() {
     let mut world = World::new();
--- a/trials/src/check.rs
+++ b/trials/src/check.rs
@@ -127,6 +127,40 @@
     }
 }
 
+/// A request that was decided under a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// When, in microseconds of the boot clock.
+    pub at: u64,
+    /// So many a second.
+    pub per_s: u32,
+    /// The process was sure of its rules.
+    pub sure: bool,
+}
+
+/// Reads the line of a request for a clip that was held to a limit.
+pub fn held(line: &Line) -> Option<Held> {
+    if line.event() != "rules.held" || line.field("class") != Some("clip") {
+        return None;
+    }
+    let sure = matches!(line.field("state"), Some("fresh" | "between"));
+    Some(Held { at: line.number("at")?, per_s: line.field("per_s")?.parse().ok()?, sure })
+}
+
+/// The longest time in microseconds for which requests were decided under two limits that differ, by processes that
+/// were sure of theirs. Each version of a trial has a figure of its own.
+pub fn overlap(lines: &[Line]) -> u64 {
+    let mut spans: BTreeMap<u32, (u64, u64)> = BTreeMap::new();
+    for held in lines.iter().filter_map(held).filter(|h| h.sure) {
+        let span = spans.entry(held.per_s).or_insert((held.at, held.at));
+        *span = (span.0.min(held.at), span.1.max(held.at));
+    }
+    let both = |a: &(u64, u64), b: &(u64, u64)| (a.1.min(b.1) + 1).saturating_sub(a.0.max(b.0));
+    let all: Vec<(u64, u64)> = spans.into_values().collect();
+    let pairs = all.iter().enumerate().flat_map(|(i, a)| all[..i].iter().map(move |b| both(a, b)));
+    pairs.max().unwrap_or(0)
+}
+
 /// Nobody votes whose folder was lost, spoilt or brought back from an older copy, unless a later council gave it a
 /// seat of its own.
 fn votes(lines: &[Line], wrong: &mut Wrong) {
@@ -274,6 +308,19 @@
         assert_eq!(set_ups(&[asked("c", false, &[2])], &boxes).len(), 1);
     }
 
+    #[test]
+    fn the_time_in_which_two_limits_were_acted_on_is_counted() {
+        let held = |who: &str, at: u64, per_s: u32, state: &str| {
+            line(who, 1, &format!("rules.held at={at} class=clip state={state} version=1 per_s={per_s}"))
+        };
+        let one = [held("a", 10, 50, "fresh"), held("b", 20, 50, "fresh"), held("a", 30, 20, "fresh")];
+        assert_eq!(overlap(&one), 0);
+        let late = [&one[..], &[held("b", 45, 50, "fresh"), held("b", 60, 20, "between")]].concat();
+        assert_eq!(overlap(&late), 16);
+        let unsure = [&one[..], &[held("b", 45, 50, "unsure")]].concat();
+        assert_eq!(overlap(&unsure), 0, "what the document says of those who can't know");
+    }
+
     #[test]
     fn councils_that_differ_or_come_again_are_found() {
         let told = |who: &str, number: u64, names: &str| {
--- a/trials/src/kept.rs
+++ b/trials/src/kept.rs
@@ -21,6 +21,10 @@
     pub build: String,
     /// Late lines of the record that the scenario brings about itself.
     pub late_lines: usize,
+    /// Milliseconds for which two processes may act on different versions of a limit.
+    pub skew_ms: u64,
+    /// The longest time for which two did.
+    pub overlap_ms: u64,
     /// Requests of viewers: asked, answered once, excused.
     pub viewers: (u64, u64, u64),
     /// Acts that were judged.
@@ -48,9 +52,13 @@
 
 impl Told {
     /// What is wrong with it, together with the record in the run's folder.
-    pub fn judged(&self, folder: &Path, late_lines: usize) -> Wrong {
+    pub fn judged(&self, folder: &Path, late_lines: usize, skew_ms: u64) -> Wrong {
         let mut wrong = check::all(&self.lines, &folder.join("record"), late_lines);
         wrong.extend(check::set_ups(&self.asked, &self.boxes));
+        let overlap = check::overlap(&self.lines) / 1_000;
+        if overlap > skew_ms {
+            wrong.push(format!("limits: two that differ were acted on for {overlap} ms, {skew_ms} may be"));
+        }
         wrong
     }
 }
@@ -84,8 +92,8 @@
         let mutant = self.mutant.as_ref().map_or(String::new(), |m| format!(" as {m}"));
         let verdict = if self.wrong.is_empty() { "good" } else { "WRONG" };
         format!(
-            "{} seed {}{mutant}: {} acts, viewers asked {asked}, answered {answered}, excused {excused}: {verdict} (build {})",
-            self.scenario, self.seed, self.acts, self.build
+            "{} seed {}{mutant}: {} acts, viewers asked {asked}, answered {answered}, excused {excused}, limits that differ for {} ms: {verdict} (build {})",
+            self.scenario, self.seed, self.acts, self.overlap_ms, self.build
         )
     }
 }
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -125,7 +125,7 @@
             })
         }
         Command::Check { folder } => of_kept(&folder, |path, about, told| {
-            let wrong = told.judged(path, about.late_lines);
+            let wrong = told.judged(path, about.late_lines, about.skew_ms);
             println!("{}: {}", path.display(), if wrong.is_empty() { "good" } else { "WRONG" });
             wrong.iter().take(20).for_each(|wrong| println!("  wrong: {wrong}"));
             wrong.is_empty()
@@ -187,8 +187,9 @@
     };
     let (asked, answered, excused) = report.viewers;
     println!(
-        "{name}: {} acts, viewers asked {asked}, answered {answered}, excused {excused}: {}",
+        "{name}: {} acts, viewers asked {asked}, answered {answered}, excused {excused}, limits that differ for {} ms: {}",
         report.acts,
+        report.overlap_ms,
         if report.wrong.is_empty() { "good" } else { "WRONG" }
     );
     for line in report.timeline.iter().take(40) {
--- a/trials/src/run.rs
+++ b/trials/src/run.rs
@@ -10,6 +10,7 @@
 
 use rustix::process::Signal;
 
+use crate::check;
 use crate::history::{self, History, Line};
 use crate::kept::{About, Told, build};
 use crate::process::{Process, Scratch, Start};
@@ -45,6 +46,8 @@
     pub viewers: (u64, u64, u64),
     /// Acts that were judged.
     pub acts: usize,
+    /// The longest time in milliseconds for which two processes acted on different versions of a limit.
+    pub overlap_ms: u64,
     /// Who held what, as text.
     pub timeline: Vec<String>,
     /// All lines.
@@ -62,6 +65,8 @@
     /// From whom, to which voter.
     relays: BTreeMap<(usize, usize), Relay>,
     names: BTreeMap<String, String>,
+    /// Where each that keeps a log listens for the others.
+    listens: BTreeMap<usize, SocketAddr>,
     boxes: Boxes,
     viewers: Vec<Viewer>,
     /// How many brokers have a viewer.
@@ -128,7 +133,7 @@
     rig.twins.clear();
     rig.relays.values().for_each(Relay::end);
     let told = Told { lines: rig.history.lines(), asked, boxes: rig.boxes.seen() };
-    wrong.extend(told.judged(&folder, scenario.late_lines));
+    wrong.extend(told.judged(&folder, scenario.late_lines, scenario.skew_ms));
     wrong.extend(done.err().map(|e| format!("not brought about: {e}")));
     let lines = told.lines.clone();
     let timeline = history::timeline(&lines);
@@ -140,6 +145,8 @@
             mutant: options.mutant.clone(),
             build: build(&options.program),
             late_lines: scenario.late_lines,
+            skew_ms: scenario.skew_ms,
+            overlap_ms: check::overlap(&told.lines) / 1_000,
             viewers,
             acts,
             wrong: wrong.clone(),
@@ -147,7 +154,8 @@
         about.keep(&folder, &told).map_err(|e| format!("{}: {e}", folder.display()))?;
     }
     drop(scratch);
-    Ok(Report { wrong, viewers, acts, timeline, lines })
+    let overlap_ms = check::overlap(&lines) / 1_000;
+    Ok(Report { wrong, viewers, acts, overlap_ms, timeline, lines })
 }
 
 impl<'a> Rig<'a> {
@@ -167,6 +175,7 @@
             twins: Vec::new(),
             relays: BTreeMap::new(),
             names: BTreeMap::new(),
+            listens: BTreeMap::new(),
             boxes: Boxes::start(),
             viewers: Vec::new(),
             viewed: VIEWED,
@@ -192,7 +201,7 @@
 
     /// Whether a process may vote, now or later.
     fn keeps_log(&self, n: usize) -> bool {
-        n <= self.scenario.voters || self.scenario.spares.contains(&n)
+        (1..=self.scenario.voters).contains(&n) || self.scenario.spares.contains(&n)
     }
 
     /// Begins without viewers.
@@ -263,8 +272,9 @@
         }
         for voter in (1..=s.brokers).filter(|n| self.keeps_log(*n)) {
             // Its own address is nobody's to dial.
-            let address = self.relays.get(&(n, voter)).map(|r| r.address.to_string());
-            let address = address.unwrap_or_else(|| "127.0.0.1:1".to_owned());
+            let relay = self.relays.get(&(n, voter)).map(|r| r.address);
+            let address = relay.or_else(|| self.listens.get(&voter).filter(|_| n == 0).copied());
+            let address = address.map_or_else(|| format!("127.0.0.1:{voter}"), |a| a.to_string());
             let spare = voter > s.voters;
             text += &format!(
                 "[[quorum.voter]]\nname = \"{}\"\naddress = \"{address}\"\nspare = {spare}\n",
@@ -296,6 +306,7 @@
                 let listens = l.event() == "listens" && l.field("front") == Some("quorum");
                 listens.then(|| l.field("address"))??.parse().ok()
             })?;
+            self.listens.insert(n, address);
             for from in 1..=self.scenario.brokers {
                 if let Some(relay) = self.relays.get(&(from, n)) {
                     relay.lead_to(Some(address));
@@ -359,13 +370,14 @@
         )
     }
 
-    /// Runs a command of the program with the file of the last process, again until it ends well.
+    /// Runs a command of the program, which reaches all voters past the relays, again until it ends well.
     fn command(&self, words: &[&str]) -> Result<(), String> {
-        let path = self.folder.join(format!("{}.toml", broker(self.scenario.brokers)));
+        let path = self.folder.join("command.toml");
+        std::fs::write(&path, self.config(0)).map_err(|e| e.to_string())?;
         let mut said = String::new();
         for _ in 0..20 {
             let mut command = Command::new(&self.options.program);
-            command.args(["broker", "quorum"]).args(words).arg("--config").arg(&path);
+            command.arg("broker").args(words).arg("--config").arg(&path);
             let output = command.output().map_err(|e| e.to_string())?;
             if output.status.success() {
                 return Ok(());
@@ -578,10 +590,33 @@
                 found.ok_or_else(|| format!("{name} never stopped itself"))
             }
             Step::Babble { who } => self.babble(who),
-            Step::HandOn { duty } => self.command(&["hand-on", duty]),
+            Step::Propose { per_s, never_two, announce } => {
+                let path = self.folder.join("rules.toml");
+                let text =
+                    format!("[[limit]]\nclass = \"clip\"\nmost_per_s = {per_s}\nnever_two = {never_two}\n");
+                std::fs::write(&path, text).map_err(|e| e.to_string())?;
+                let path = path.display().to_string();
+                let mut words = vec!["rules", "propose", path.as_str()];
+                words.extend(announce.then_some("--announce"));
+                self.command(&words)
+            }
+            Step::Ruled { who, per_s } => {
+                let from = self.history.len();
+                for name in self.who(who)? {
+                    let held = |lines: &[Line]| {
+                        let own = lines[from..].iter().filter(|l| l.who == name);
+                        own.filter_map(check::held).any(|h| h.sure && h.per_s == *per_s).then_some(())
+                    };
+                    self.history
+                        .wait(self.options.patience, held)
+                        .ok_or_else(|| format!("{name} never decided under {per_s} a second"))?;
+                }
+                Ok(())
+            }
+            Step::HandOn { duty } => self.command(&["quorum", "hand-on", duty]),
             Step::Replace { voter, by } => {
                 let (voter, by) = (self.who(voter)?.remove(0), self.who(by)?.remove(0));
-                self.command(&["replace", &voter, "--by", &by])
+                self.command(&["quorum", "replace", &voter, "--by", &by])
             }
         }
     }
--- a/trials/src/scenario.rs
+++ b/trials/src/scenario.rs
@@ -15,6 +15,9 @@
     /// How many of them vote.
     #[serde(default = "three")]
     pub voters: usize,
+    /// Milliseconds for which two processes may act on different versions of a limit; 0: not at all.
+    #[serde(default = "skew")]
+    pub skew_ms: u64,
     /// Processes beyond the voters that may replace one, by number from 1.
     #[serde(default)]
     pub spares: Vec<usize>,
@@ -237,6 +240,24 @@
         /// To whom.
         who: String,
     },
+    /// Proposes a limit on clips by the command, and waits until it is in force.
+    Propose {
+        /// Clips a second at each front.
+        per_s: u32,
+        /// No two versions of it at once.
+        #[serde(default)]
+        never_two: bool,
+        /// Does not wait.
+        #[serde(default)]
+        announce: bool,
+    },
+    /// Waits until each process of these has decided under a version of the rules that it is sure of.
+    Ruled {
+        /// Who.
+        who: String,
+        /// The limit that counts.
+        per_s: u32,
+    },
     /// Has a voter replaced by the command, and waits until the new voters have a leader.
     Replace {
         /// Which goes.
@@ -255,6 +276,10 @@
     2
 }
 
+fn skew() -> u64 {
+    2_000
+}
+
 fn keep() -> String {
     "keep".to_owned()
 }
@@ -299,6 +324,11 @@
     "renewals-lost",
     "ring",
     "rolling-restart",
+    "rules-late-answers",
+    "rules-leader-dies",
+    "rules-never-two",
+    "rules-stalled",
+    "rules-tightened",
     "syncs-lost",
     "thirty-want-one",
     "twin",
--- a/trials/tests/processes.rs
+++ b/trials/tests/processes.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use amberspindle::mutant::{self, Mutant};
 use amberspindle::quorum::book::{Book, Change, Ended, Entry};
-use amberspindle::quorum::mutant::{self, Mutant};
 use amberspindle::quorum::{Duty, Epoch, Process, Reign};
 use amberspindle_trials::run::{Options, PATIENCE, Report, run};
 use amberspindle_trials::scenario;
