Rules: go back to an earlier version, watch changes, and measure how long they take

Need: to go back one had to keep the old document; nothing measured announcement to force; the first version did not wait for those that act on none.

Processes are told how long they may go by what they were told also while there are no rules.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -131,6 +131,20 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Propose the document of an earlier version again, as a new one, and wait until it is in force
+    Rollback {
+        /// The earlier version's number
+        number: u64,
+        /// An operator's file with a [quorum]
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Print each change of what is announced or in force, until interrupted
+    Watch {
+        /// An operator's file with a [quorum]
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Withdraw the announced version
     Abort {
         /// Its number
@@ -301,6 +315,9 @@
     Ok((Rules::read(&name, &text)?, text))
 }
 
+/// Between looks of `rules watch`.
+const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(200);
+
 fn ask_rules(ask: AskRules) -> Result<(), Findings> {
     let failed = |why: String| Findings::from(Finding::whole("rules", why));
     match ask {
@@ -368,6 +385,42 @@
                 ));
             }
         }
+        AskRules::Rollback { number, config } => {
+            let setup = quorum_of(&config)?;
+            let status = net::quorum::rules(&setup).map_err(failed)?;
+            let past = status.ruled.past.iter().find(|p| p.version.number == number);
+            let found = past.filter(|p| p.fate == Fate::Followed && !p.version.text.is_empty());
+            let version = found.map(|p| &p.version).ok_or_else(|| {
+                failed(format!(
+                    "version {number}: was not in force, or its document is no longer kept; see history"
+                ))
+            })?;
+            let proposal = Proposal {
+                text: version.text.clone(),
+                author: "operator".into(),
+                note: format!("back to version {number}"),
+                ..Proposal::default()
+            };
+            let number = net::quorum::propose(&setup, &proposal, true).map_err(failed)?;
+            say(&format!("version {number} is in force"));
+        }
+        AskRules::Watch { config } => {
+            let setup = quorum_of(&config)?;
+            let mut last = None;
+            loop {
+                // Voters that do not answer for a while are asked again.
+                if let Ok(status) = net::quorum::rules(&setup) {
+                    let now = (status.ruled.force(), status.ruled.announced());
+                    if last.replace(now) != Some(now) {
+                        say(&format!(
+                            "told by {}: version {} in force, {} announced",
+                            status.member, now.0, now.1
+                        ));
+                    }
+                }
+                std::thread::sleep(LOOK_EVERY);
+            }
+        }
         AskRules::Abort { number, config } => {
             net::quorum::abort(&quorum_of(&config)?, number).map_err(failed)?;
             say(&format!("version {number} is withdrawn"));
--- a/src/quorum/ledger.rs
+++ b/src/quorum/ledger.rs
@@ -240,10 +240,8 @@
 
     /// What a process is told of the rules: it may go by them for a while from when it asked.
     fn word(&mut self, now: Boot, beat: &Beat, book: &Book) -> Word {
+        // Also while there are no rules: the first ones wait for all that act on none.
         let ruled = &book.rules;
-        if ruled.last == 0 {
-            return Word::default();
-        }
         let (force, accepted, _) = &beat.rules;
         self.forcing.answered(now, &beat.process, *accepted, ruled.force());
         let lacks = |v: &&Version| v.number != *force && v.number != *accepted;
--- a/src/rules/standing.rs
+++ b/src/rules/standing.rs
@@ -20,7 +20,7 @@
     pub versions: Vec<Version>,
     /// The last number that was given out: it tells older words from newer ones.
     pub last: u64,
-    /// How long the process may go by this from the sending of its beat; 0: there are no rules.
+    /// How long the process may go by this from the sending of its beat; 0: the answer says nothing of rules.
     pub fresh: Micros,
 }
 
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -77,6 +77,12 @@
         #[arg(long, default_value_t = 2)]
         seconds: u64,
     },
+    /// Measure how long changes of a limit take to be in force, and for how long two limits were acted on
+    Rules {
+        /// How often, with nothing wrong and with one broker cut off
+        #[arg(long, default_value_t = 200)]
+        times: usize,
+    },
     /// Measure grants a second, and how a voter catches up that missed so many entries
     Log {
         /// Entries
@@ -141,6 +147,7 @@
         Command::Load { brokers, seconds } => measured(measure::load(&program, brokers, seconds)),
         Command::Quiet { seconds } => measured(measure::quiet(&program, seconds)),
         Command::Viewers { rounds, seconds } => measured(measure::viewers(&program, rounds, seconds)),
+        Command::Rules { times } => measured(measure::rules(&program, times)),
         Command::Log { missed } => measured(measure::log(missed)),
         Command::Soak { times } => {
             let mut options = Options { program, seed: 0, mutant: None, patience: PATIENCE, keep: None };
