--- a/src/quorum/ledger.rs
+++ b/src/quorum/ledger.rs
@@ -7,14 +7,14 @@
 use super::book::{Book, Change, Ended, Entry};
 use super::council::{Council, Offer};
 use super::frame::{Beat, Counts, Told};
-use super::view::{ActingStatus, Fleet, Mate, View};
+use super::view::{Fleet, Mate, View};
 use super::{Boot, Duty, Epoch, Name, Process, RECORD, Reign, Setup, VoterId};
 use crate::api::Micros;
 use crate::mutant::{self, Mutant};
-use crate::rules::document::Rules;
 use crate::rules::force::Forcing;
 use crate::rules::standing::Word;
-use crate::rules::version::{Proposal, Unproposed, Version};
+
+mod ruled;
 
 /// A proposal that has come to nothing for so long is made again.
 const AGAIN: Micros = Micros(1_000_000);
@@ -238,83 +238,6 @@
         Told { back, fleet, rules, ..self.told(beat, holds, book) }
     }
 
-    /// What a process is told of the rules: it may go by them for a while from when it asked.
-    fn word(&mut self, now: Boot, beat: &Beat, book: &Book) -> Word {
-        // Also while there are no rules: the first ones wait for all that act on none.
-        let ruled = &book.rules;
-        let (force, accepted, _) = &beat.rules;
-        self.forcing.answered(now, &beat.process, *accepted, ruled.force());
-        let lacks = |v: &&Version| v.number != *force && v.number != *accepted;
-        Word {
-            force: ruled.force(),
-            announced: ruled.announced(),
-            versions: [&ruled.force, &ruled.announced].into_iter().flatten().filter(lacks).cloned().collect(),
-            last: ruled.last,
-            fresh: self.setup.fresh,
-        }
-    }
-
-    /// Brings the announced version into force, or withdraws it if somebody can't use it.
-    fn rules(&mut self, now: Boot, book: &Book, entries: &mut Vec<Entry>) {
-        let (reign, number) = (self.reign, book.rules.announced());
-        let refused =
-            self.forcing.refusal(&book.rules).map(|(process, why)| format!("{}: {why}", process.name));
-        if let Some(why) = refused {
-            if self.due(now, format!("rules {number}")) {
-                entries.push(Entry::Withdraw { reign, number, why });
-            }
-        } else if self.forcing.ready(now, &book.rules) && self.due(now, format!("rules {number}")) {
-            entries.push(Entry::Enforce { reign, number });
-        }
-        self.forcing.forget(now);
-    }
-
-    /// A document that is to be announced, if it may be.
-    pub fn propose(&mut self, book: &Book, proposal: Proposal) -> Result<Entry, Unproposed> {
-        let Proposal { text, parent, author, note, at_ms } = proposal;
-        let ruled = &book.rules;
-        if let Some(number) = self.announcing.or(ruled.announced.as_ref().map(|v| v.number)) {
-            return Err(Unproposed::Underway(number));
-        }
-        let force = ruled.force();
-        let parent = parent.unwrap_or(force);
-        if parent != force {
-            return Err(Unproposed::Parent { parent, force });
-        }
-        let wrong = |findings: crate::records::Findings| Unproposed::Wrong(findings.to_string());
-        let rules = Rules::read("", &text).map_err(wrong)?;
-        if let Some(before) = &ruled.force {
-            let old = Rules::read("", &before.text).map_err(wrong)?;
-            if old == rules {
-                return Err(Unproposed::Same(force));
-            }
-            rules.follows(&old, "", &text).map_err(wrong)?;
-        }
-        let digest = Version::digest_of(&text);
-        self.announcing = Some(ruled.last + 1);
-        let version = Version { number: ruled.last + 1, parent, digest, author, at_ms, note, text };
-        Ok(Entry::Announce { reign: self.reign, version: Box::new(version) })
-    }
-
-    /// The withdrawal of the announced version, if it is this one.
-    pub fn abort(&self, book: &Book, number: u64) -> Option<Entry> {
-        let why = "aborted by command".to_owned();
-        let announced = number > 0 && book.rules.announced() == number;
-        announced.then_some(Entry::Withdraw { reign: self.reign, number, why })
-    }
-
-    /// Who acts on what.
-    pub fn acting(&self, now: Boot) -> Vec<ActingStatus> {
-        let one = |(process, told, accepted, left): (&Process, u64, u64, Micros)| ActingStatus {
-            name: process.name.clone(),
-            incarnation: process.incarnation.0,
-            told,
-            accepted,
-            left_ms: left.0 / 1_000,
-        };
-        self.forcing.who(now).map(one).collect()
-    }
-
     fn told(&self, beat: &Beat, holds: Vec<(Duty, Epoch, Micros)>, book: &Book) -> Told {
         Told {
             process: beat.process.clone(),
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -15,13 +15,13 @@
 use super::ledger::{Ledger, Via};
 use super::record::{self, Done, Job, Writer};
 use super::store::Store;
-use super::view::{DutyStatus, Fleet, MemberStatus, RulesStatus, Status, View, VoterStatus};
+use super::view::{DutyStatus, Fleet, MemberStatus, Status, View, VoterStatus};
 use super::{Boot, Duty, Epoch, IDLE, Incarnation, Name, Process, RECORD, Setup, VoterId};
 use crate::api::Micros;
 use crate::mutant::{self, Mutant};
 use crate::rules::standing::{Standing, Sure};
-use crate::rules::version::{Proposal, Unproposed};
 
+mod ruled;
 mod succession;
 
 /// A journal that is longer than this, and than four times what it began with, is written anew.
@@ -462,13 +462,8 @@
                 out.push(Out::Reply(conn, Frame::Proposed(done)));
             }
             (Frame::Abort(number), _) => {
-                let seat = self.seat.as_ref();
-                let led = seat.and_then(|s| s.ledger.as_ref().zip(s.agree.as_ref()));
-                let entry = led.and_then(|(ledger, agree)| ledger.abort(agree.book(), number));
-                out.push(Out::Reply(conn, Frame::Aborting(entry.is_some())));
-                if let Some(entry) = entry {
-                    self.agreeing(out, |agree| agree.propose(entry));
-                }
+                let done = self.abort(number, out);
+                out.push(Out::Reply(conn, Frame::Aborting(done)));
             }
             (Frame::Rules, _) => {
                 let status = self.rules_status(now);
@@ -643,28 +638,6 @@
         }
     }
 
-    /// A document of rules is to be announced.
-    fn propose(&mut self, proposal: Proposal, out: &mut Vec<Out>) -> Result<u64, Unproposed> {
-        let seat = self.seat.as_mut();
-        let led = seat.and_then(|s| s.ledger.as_mut().zip(s.agree.as_ref()));
-        let (ledger, agree) = led.ok_or(Unproposed::NotLeading)?;
-        let number = agree.book().rules.last + 1;
-        let entry = ledger.propose(agree.book(), proposal)?;
-        self.agreeing(out, |agree| agree.propose(entry));
-        Ok(number)
-    }
-
-    fn rules_status(&self, now: Boot) -> RulesStatus {
-        let seat = self.seat.as_ref();
-        let ledger = seat.and_then(|s| s.ledger.as_ref());
-        RulesStatus {
-            member: self.setup.name.clone(),
-            confirmed: ledger.is_some_and(|l| l.confirmed_within(now, self.setup.lease)),
-            ruled: seat.and_then(|s| s.agree.as_ref()).map(|a| a.book().rules.clone()).unwrap_or_default(),
-            who: ledger.map(|l| l.acting(now)).unwrap_or_default(),
-        }
-    }
-
     // ---- Agreement.
 
     fn agreeing(&mut self, out: &mut Vec<Out>, act: impl FnOnce(&mut Agree) -> Result<(), Broken>) {
