--- a/src/quorum/ledger/ruled.rs
+++ b/src/quorum/ledger/ruled.rs
@@ -16,7 +16,7 @@
         // Also while there are no rules: the first ones wait for all that act on none.
         let ruled = &book.rules;
         let (force, accepted, _) = &beat.rules;
-        self.forcing.answered(now, &beat.process, *accepted, ruled.force());
+        self.forcing.answered(now, &beat.process, *accepted, (ruled.force(), ruled.last));
         let lacks = |v: &&Version| v.number != *force && v.number != *accepted;
         Word {
             force: ruled.force(),
--- a/src/quorum/machine.rs
+++ b/src/quorum/machine.rs
@@ -677,14 +677,7 @@
             if ticked.is_err() {
                 return self.bar(Barred::Folder("agreement gave up".into()), out);
             }
-            // Whoever misses it hears it with the papers of the next link.
-            let written = seat.on_disk;
-            if seat.told_written != written {
-                seat.told_written = written;
-                for voter in self.council.others(&self.setup.name) {
-                    out.push(Out::Send(voter, Frame::Written(written)));
-                }
-            }
+            self.tell_written(out);
         }
         self.lead(now, out);
         // What is proposed may be agreed on at once, and that may call for more.
@@ -697,6 +690,9 @@
             if effects.is_empty() {
                 return;
             }
+            // Whoever hears what follows from a change has heard before how far the journal reaches: an older copy of
+            // this folder would else get by those that heard of its votes.
+            self.tell_written(out);
             for effect in effects {
                 match effect {
                     Effect::Send(to, message) => {
@@ -711,6 +707,19 @@
         }
     }
 
+    /// Tells the other voters how far this journal reaches, if they have not heard. Whoever misses it hears it with the
+    /// papers of the next link.
+    fn tell_written(&mut self, out: &mut Vec<Out>) {
+        let Some(seat) = &mut self.seat else { return };
+        let written = seat.on_disk;
+        if seat.told_written != written {
+            seat.told_written = written;
+            for voter in self.council.others(&self.setup.name) {
+                out.push(Out::Send(voter, Frame::Written(written)));
+            }
+        }
+    }
+
     /// The log has grown by an entry.
     fn changed(&mut self, now: Boot, index: u64, change: Change, out: &mut Vec<Out>) {
         let Some(seat) = &mut self.seat else { return };
--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -379,6 +379,31 @@
     world.agreed();
 }
 
+/// Seen with real processes: a voter's acceptance reached the others, how far its journal was did so only at its next
+/// look, and a copy from before that voted.
+#[test]
+fn an_older_copy_has_no_vote_however_soon_the_voter_died() {
+    let mut found = 0;
+    for step in 0..40 {
+        let mut world = World::new();
+        world.pass(5_000_000 + step * 10_000);
+        let leader = world.leader().unwrap();
+        let voter = (1..=VOTERS).find(|n| *n != leader).unwrap();
+        let older = world.journals[&voter].clone();
+        world.input(leader, Input::Drain);
+        world.pass(10_000);
+        world.kill(voter);
+        if world.journals.insert(voter, older.clone()).unwrap().len() > older.len() {
+            found += 1;
+            world.events.clear();
+            world.start(voter);
+            world.pass(2_000_000);
+            assert!(!world.events.contains(&(voter, Event::Votes)), "step {step}");
+        }
+    }
+    assert!(found > 5, "{found}");
+}
+
 #[test]
 fn a_duty_that_is_given_back_is_held_by_another_without_waiting_for_its_next_beat() {
     let mut world = World::new();
@@ -595,6 +620,11 @@
             "quorum.beat_ms: more than half a lease: one lost beat would lose the lease",
         ),
         ("drift = 0.01", "drift = 0.7", "quorum.drift: 0.7 is not between 0 and 0.5"),
+        (
+            "lease_ms = 2000",
+            "lease_ms = 2000\nskew_ms = 1000",
+            "quorum.skew_ms: shorter than rules can be renewed: 1225 would do, or a shorter beat_ms",
+        ),
         ("name = \"idle\"", "name = \"idel\"", "quorum.duty[1].name: no such duty; known: record, idle"),
         ("name = \"idle\"", "name = \"record\"", "quorum.duty[1].name: this duty is there already"),
         ("record = \"state/record\"", "", "quorum.record: required by the duty record"),
--- a/trials/src/scenario.rs
+++ b/trials/src/scenario.rs
@@ -250,6 +250,14 @@
         /// Does not wait.
         #[serde(default)]
         announce: bool,
+        /// A box that it bars, from 1. Each process that accepts it must send nothing there from then on.
+        #[serde(default)]
+        barred: Option<usize>,
+    },
+    /// Proposes so many changes of the limit, one right after another, and waits for each.
+    ProposeMany {
+        /// How many.
+        times: u32,
     },
     /// Waits until each process of these has decided under a version of the rules that it is sure of.
     Ruled {
@@ -324,9 +332,15 @@
     "renewals-lost",
     "ring",
     "rolling-restart",
+    "rules-barred",
+    "rules-clock-fast",
+    "rules-half-restarted",
     "rules-late-answers",
     "rules-leader-dies",
+    "rules-majority-lost",
+    "rules-many",
     "rules-never-two",
+    "rules-one-way",
     "rules-stalled",
     "rules-tightened",
     "syncs-lost",
