Any lease works in a file that says nothing of rules

Change: left out it is 2,000, or what the beats need if that is more; one that is set is checked as before.

Result: a test with leases of 60 s, which failed before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -224,7 +224,7 @@
         drift: record.drift.unwrap_or(0.01),
         stuck: ms(record.stuck_ms, lease * 10),
         gone: ms(record.gone_ms, lease * 3),
-        fresh: fresh(ms(record.skew_ms, 2_000), record.drift.unwrap_or(0.01)),
+        fresh: fresh(ms(None, record.skew()), record.drift.unwrap_or(0.01)),
         fronts: record.fronts.then(|| ms(record.settle_ms, 10_000)),
         duties: record.duty.iter().map(|d| (quorum::Duty(d.name.clone()), d.weight.unwrap_or(1))).collect(),
         record: record.record.as_ref().map(|dir| base.join(dir)),
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -316,8 +316,8 @@
     #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 200, 3_600_000))))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gone_ms: Option<u64>,
-    /// Milliseconds for which two processes may act on versions of the rules that contradict each other; 2,000 if left
-    /// out. See `docs/rules.md`.
+    /// Milliseconds for which two processes may act on versions of the rules that contradict each other; if left out
+    /// 2,000, or what the beats need. See `docs/rules.md`.
     #[garde(inner(custom(|ms: &u64, _: &()| span(*ms, 100, 3_600_000))))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub skew_ms: Option<u64>,
@@ -381,6 +381,18 @@
 }
 
 impl QuorumRecord {
+    /// The shortest time for which rules can be renewed: an answer must come before the freshness of the one before is
+    /// over, also when one is lost.
+    fn least_skew_ms(&self) -> u64 {
+        let beat = self.beat_ms.unwrap_or((self.lease_ms.unwrap_or(2_000) / 5).max(20));
+        ((beat * 3) as f64 * (1.0 + self.drift.unwrap_or(0.01)).powi(2)).ceil() as u64
+    }
+
+    /// How long two processes may act on rules that contradict each other.
+    pub fn skew(&self) -> u64 {
+        self.skew_ms.unwrap_or(self.least_skew_ms().max(2_000))
+    }
+
     /// What no field shows alone.
     fn agree(&self, name: Option<&str>, wrong: &mut Vec<Wrong>) {
         let mut push = |field: String, why: &str| wrong.push((field, why.to_owned()));
@@ -416,12 +428,9 @@
             push("quorum.settle_ms".into(), "needs fronts = true");
         }
         let lease = self.lease_ms.unwrap_or(2_000);
-        // An answer must come before the freshness of the one before is over, also when one is lost.
-        let beat = self.beat_ms.unwrap_or((lease / 5).max(20));
-        let least = (beat * 3) as f64 * (1.0 + self.drift.unwrap_or(0.01)).powi(2);
-        if (self.skew_ms.unwrap_or(2_000) as f64) < least {
-            let why =
-                format!("shorter than rules can be renewed: {} would do, or a shorter beat_ms", least.ceil());
+        let least = self.least_skew_ms();
+        if self.skew_ms.is_some_and(|skew| skew < least) {
+            let why = format!("shorter than rules can be renewed: {least} would do, or a shorter beat_ms");
             push("quorum.skew_ms".into(), &why);
         }
         if self.beat_ms.is_some_and(|beat| beat * 2 > lease) {
--- a/tests/quorum.rs
+++ b/tests/quorum.rs
@@ -595,6 +595,14 @@
     assert_eq!(first.folder.unwrap(), std::path::Path::new("/d/state/broker-1"));
 }
 
+/// Seen with leases of 4 s: a file that said nothing of rules was refused for the time that it left out.
+#[test]
+fn a_file_that_says_nothing_of_rules_works_with_any_lease() {
+    for more in ["lease_ms = 60000", "lease_ms = 2000\nbeat_ms = 900", "lease_ms = 2000"] {
+        assert!(findings(&deployed(1).replacen("lease_ms = 2000", more, 1)).is_empty(), "{more}");
+    }
+}
+
 #[test]
 fn what_cannot_work_is_told_by_its_field() {
     for (from, to, finding) in [
