Commands of the quorum ask in two ways, written once each

Need: six commands each went through the processes with a loop of their own, alike but for the frame.

Change: ask_leader for what only the leader can do, ask_best for how things stand. What commands say and when they stop is as before.

--- a/src/net/quorum/commands.rs
+++ b/src/net/quorum/commands.rs
@@ -77,18 +77,44 @@
     all().filter(own).chain(all().filter(|v| !own(v))).map(address).collect()
 }
 
-/// How things stand, told by the leader where one is known, else by the first voter that answers.
-pub fn show(setup: &Setup) -> Result<Status, String> {
-    let (mut found, mut problems) = (None::<Status>, Vec::new());
+/// What one process answered: the leader's word, or why it is not that.
+type Answered<T> = Result<T, String>;
+
+/// Asks one process after another until one answers as the leader does: its name and the answer; else what each said.
+fn ask_leader<T>(
+    setup: &Setup,
+    frame: &Frame,
+    answer: impl Fn(Frame) -> Option<Answered<T>>,
+) -> Result<(String, T), String> {
+    let mut problems = Vec::new();
+    for (name, address) in asked(setup) {
+        match async_io::block_on(ask(address, &hello(setup), frame, &answer)) {
+            Ok(Ok(done)) => return Ok((name, done)),
+            Ok(Err(why)) => problems.push(format!("{name}: {why}")),
+            Err(error) => problems.push(format!("{name} ({address}): {error}")),
+        }
+    }
+    Err(problems.join("; "))
+}
+
+/// Asks one process after another how things stand, until one answers that a majority vouches for; else the best of
+/// what was answered.
+fn ask_best<T>(
+    setup: &Setup,
+    frame: &Frame,
+    answer: impl Fn(Frame) -> Option<T>,
+    vouched: impl Fn(&T) -> bool,
+    better: impl Fn(&T, &T) -> bool,
+) -> Result<T, String> {
+    let (mut found, mut problems) = (None::<T>, Vec::new());
     for (name, address) in asked(setup) {
-        match ask_status(setup, address) {
-            Ok(status) if status.confirmed => return Ok(status),
+        match async_io::block_on(ask(address, &hello(setup), frame, &answer)) {
+            Ok(status) if vouched(&status) => return Ok(status),
             Ok(status) => {
-                let better = |f: &Status| {
-                    f.barred.is_some() || (status.council, status.version) > (f.council, f.version)
+                found = match found {
+                    Some(known) if !better(&status, &known) => Some(known),
+                    _ => Some(status),
                 };
-                let better = found.as_ref().is_none_or(better);
-                found = if better { Some(status) } else { found };
             }
             Err(error) => problems.push(format!("{name} ({address}): {error}")),
         }
@@ -96,30 +122,26 @@
     found.ok_or_else(|| format!("no voter answers: {}", problems.join("; ")))
 }
 
-fn ask_status(setup: &Setup, address: SocketAddr) -> io::Result<Status> {
-    let status = |frame: Frame| match frame {
+/// How things stand, told by the leader where one is known, else by the first voter that answers.
+pub fn show(setup: &Setup) -> Result<Status, String> {
+    let answer = |frame: Frame| match frame {
         Frame::Status(status) => Some(*status),
         _ => None,
     };
-    async_io::block_on(ask(address, &hello(setup), &Frame::Show, status))
+    let better = |new: &Status, known: &Status| {
+        known.barred.is_some() || (new.council, new.version) > (known.council, known.version)
+    };
+    ask_best(setup, &Frame::Show, answer, |status| status.confirmed, better)
 }
 
 /// Asks the leader to have a duty handed on.
 pub fn hand_on(setup: &Setup, duty: &str) -> Result<(), String> {
-    let frame = Frame::HandOn(Duty(duty.to_owned()));
+    let no = || format!("does not lead, or nobody holds {duty}");
     let answer = |frame: Frame| match frame {
-        Frame::HandingOn(done, _) => Some(done),
+        Frame::HandingOn(done, _) => Some(if done { Ok(()) } else { Err(no()) }),
         _ => None,
     };
-    let mut problems = Vec::new();
-    for (name, address) in asked(setup) {
-        match async_io::block_on(ask(address, &hello(setup), &frame, answer)) {
-            Ok(true) => return Ok(()),
-            Ok(false) => problems.push(format!("{name}: does not lead, or nobody holds {duty}")),
-            Err(error) => problems.push(format!("{name} ({address}): {error}")),
-        }
-    }
-    Err(problems.join("; "))
+    ask_leader(setup, &Frame::HandOn(Duty(duty.to_owned())), answer).map(|_| ())
 }
 
 /// How long a command waits for a change of voters to be through.
@@ -128,40 +150,25 @@
 /// Has a voter replaced by a process that offers itself, and waits until the new voters have a leader.
 pub fn replace(setup: &Setup, gone: &str, new: &str) -> Result<Status, String> {
     let frame = Frame::Replace(Name(gone.to_owned()), Name(new.to_owned()));
+    // Whatever else the leader says, whoever else is asked does not know better.
     let answer = |frame: Frame| match frame {
-        Frame::Replacing(done) => Some(done),
+        Frame::Replacing(Err(why @ Unreplaced::NotLeading)) => Some(Err(why.to_string())),
+        Frame::Replacing(done) => Some(Ok(done)),
         _ => None,
     };
-    let mut problems = Vec::new();
-    for (name, address) in asked(setup) {
-        let number = match async_io::block_on(ask(address, &hello(setup), &frame, answer)) {
-            Ok(Ok(number)) => number,
-            // Only the leader says this, and whoever else is asked does not know better.
-            Ok(Err(why)) if why != Unreplaced::NotLeading => return Err(format!("{name}: {why}")),
-            Ok(Err(why)) => {
-                problems.push(format!("{name}: {why}"));
-                continue;
-            }
-            Err(error) => {
-                problems.push(format!("{name} ({address}): {error}"));
-                continue;
-            }
-        };
-        let until = Instant::now() + THROUGH;
-        while Instant::now() < until {
-            if let Ok(status) = show(setup)
-                && status.council >= number
-                && status.confirmed
-            {
-                return Ok(status);
-            }
-            std::thread::sleep(Duration::from_millis(50));
+    let (name, done) = ask_leader(setup, &frame, answer)?;
+    let number = done.map_err(|why| format!("{name}: {why}"))?;
+    let until = Instant::now() + THROUGH;
+    while Instant::now() < until {
+        if let Ok(status) = show(setup)
+            && status.council >= number
+            && status.confirmed
+        {
+            return Ok(status);
         }
-        return Err(format!(
-            "{name}: council {number} was proposed, but nobody led it within 30 s; see `quorum show`"
-        ));
+        std::thread::sleep(Duration::from_millis(50));
     }
-    Err(problems.join("; "))
+    Err(format!("{name}: council {number} was proposed, but nobody led it within 30 s; see `quorum show`"))
 }
 
 /// The rules, told by the leader where one is known, else by the first that answers.
@@ -170,18 +177,8 @@
         Frame::RulesAre(status) => Some(*status),
         _ => None,
     };
-    let (mut found, mut problems) = (None::<RulesStatus>, Vec::new());
-    for (name, address) in asked(setup) {
-        match async_io::block_on(ask(address, &hello(setup), &Frame::Rules, answer)) {
-            Ok(status) if status.confirmed => return Ok(status),
-            Ok(status) => {
-                let better = found.as_ref().is_none_or(|f| status.ruled.last > f.ruled.last);
-                found = if better { Some(status) } else { found };
-            }
-            Err(error) => problems.push(format!("{name} ({address}): {error}")),
-        }
-    }
-    found.ok_or_else(|| format!("no voter answers: {}", problems.join("; ")))
+    let better = |new: &RulesStatus, known: &RulesStatus| new.ruled.last > known.ruled.last;
+    ask_best(setup, &Frame::Rules, answer, |status| status.confirmed, better)
 }
 
 /// Proposes a document of rules; with `wait` until it is in force. Gives its number.
@@ -189,20 +186,13 @@
     let at_ms = unix().0 / 1_000;
     let frame = Frame::Propose(Box::new(Proposal { at_ms, ..proposal.clone() }));
     let answer = |frame: Frame| match frame {
-        Frame::Proposed(done) => Some(done),
+        Frame::Proposed(Err(why @ Unproposed::NotLeading)) => Some(Err(why.to_string())),
+        Frame::Proposed(done) => Some(Ok(done)),
         _ => None,
     };
-    let mut problems = Vec::new();
-    for (name, address) in asked(setup) {
-        match async_io::block_on(ask(address, &hello(setup), &frame, answer)) {
-            Ok(Ok(number)) if wait => return in_force(setup, number, &Version::digest_of(&proposal.text)),
-            Ok(Ok(number)) => return Ok(number),
-            Ok(Err(why)) if why != Unproposed::NotLeading => return Err(why.to_string()),
-            Ok(Err(why)) => problems.push(format!("{name}: {why}")),
-            Err(error) => problems.push(format!("{name} ({address}): {error}")),
-        }
-    }
-    Err(problems.join("; "))
+    let (_, done) = ask_leader(setup, &frame, answer)?;
+    let number = done.map_err(|why| why.to_string())?;
+    if wait { in_force(setup, number, &Version::digest_of(&proposal.text)) } else { Ok(number) }
 }
 
 fn in_force(setup: &Setup, number: u64, digest: &str) -> Result<u64, String> {
@@ -235,21 +225,12 @@
 
 /// Has the announced version withdrawn.
 pub fn abort(setup: &Setup, number: u64) -> Result<(), String> {
+    let no = || format!("does not lead, or version {number} is not announced");
     let answer = |frame: Frame| match frame {
-        Frame::Aborting(done) => Some(done),
+        Frame::Aborting(done) => Some(if done { Ok(()) } else { Err(no()) }),
         _ => None,
     };
-    let mut problems = Vec::new();
-    for (name, address) in asked(setup) {
-        match async_io::block_on(ask(address, &hello(setup), &Frame::Abort(number), answer)) {
-            Ok(true) => return Ok(()),
-            Ok(false) => {
-                problems.push(format!("{name}: does not lead, or version {number} is not announced"))
-            }
-            Err(error) => problems.push(format!("{name} ({address}): {error}")),
-        }
-    }
-    Err(problems.join("; "))
+    ask_leader(setup, &Frame::Abort(number), answer).map(|_| ())
 }
 
 /// The fleet's record, joined from the files of a folder.
