Look for barred servers when the versions change, not with each answer to a beat

Seen: each answer to a beat, some five a second, copied the whole list of servers and each of their names to find that nothing had changed.

Change: the list is gone through when the version in force or the accepted one is another; a new list is looked at as it comes, as before. Members that join and leave are told of by one line of code.

--- a/src/net/quorum.rs
+++ b/src/net/quorum.rs
@@ -166,23 +166,10 @@
             let (duty, holder) = (past.duty.0.as_str(), past.holder.name.0.as_str());
             info!(event = "log.ended", index, at, duty, epoch = past.epoch.0, holder, how = past.how.name());
         }
-        Change::Joined(process) => {
-            info!(
-                event = "log.joined",
-                index,
-                at,
-                member = process.name.0.as_str(),
-                run = process.incarnation.0
-            );
-        }
-        Change::Left(process) => {
-            info!(
-                event = "log.left",
-                index,
-                at,
-                member = process.name.0.as_str(),
-                run = process.incarnation.0
-            );
+        Change::Joined(process) | Change::Left(process) => {
+            let event = if matches!(change, Change::Joined(_)) { "log.joined" } else { "log.left" };
+            let (member, run) = (process.name.0.as_str(), process.incarnation.0);
+            info!(event, index, at, member, run);
         }
         Change::Announced(number) => info!(event = "log.announced", index, at, number),
         Change::Enforced(number) => info!(event = "log.enforced", index, at, number),
--- a/src/node/ruled.rs
+++ b/src/node/ruled.rs
@@ -38,11 +38,15 @@
     /// What this broker acts on from now on.
     pub fn ruled(&mut self, now: Micros, standing: Standing, out: &mut Vec<Command>) {
         let ruled = self.ruled.get_or_insert_with(Ruled::default);
-        ruled.standing = standing;
+        let before = std::mem::replace(&mut ruled.standing, standing).versions();
+        // Each answer to a beat comes by here; who is barred changes with the versions alone.
+        if ruled.standing.versions() == before {
+            return;
+        }
         let listed = self.broker.listed();
         let mut changes = Vec::new();
         for entry in listed {
-            let bars = ruled.standing.bars(&entry.id.to_string());
+            let bars = ruled.standing.bars(&entry.id.0);
             match (bars, ruled.barred.contains_key(&entry.id)) {
                 (true, false) => {
                     ruled.barred.insert(entry.id.clone(), entry.clone());
@@ -62,7 +66,7 @@
         let Some(ruled) = &mut self.ruled else { return servers };
         let mut allowed = Vec::with_capacity(servers.len());
         for entry in servers {
-            if entry.state == ServerState::Gone || !ruled.standing.bars(&entry.id.to_string()) {
+            if entry.state == ServerState::Gone || !ruled.standing.bars(&entry.id.0) {
                 ruled.barred.remove(&entry.id);
                 allowed.push(entry);
             } else {
--- a/src/rules/standing.rs
+++ b/src/rules/standing.rs
@@ -81,10 +81,16 @@
 }
 
 impl Standing {
-    /// The number of the version in force as last told, of the accepted one (0: none), and of a refused one.
-    pub fn says(&self) -> (u64, u64, Option<(u64, String)>) {
+    /// The numbers of the version in force as last told, and of the last that was accepted; 0: none.
+    pub fn versions(&self) -> (u64, u64) {
         let number = |known: &Option<Known>| known.as_ref().map_or(0, |k| k.number);
-        (number(&self.force), number(&self.accepted).max(number(&self.force)), self.refused.clone())
+        (number(&self.force), number(&self.accepted).max(number(&self.force)))
+    }
+
+    /// The same, and a version that was refused, with the reason.
+    pub fn says(&self) -> (u64, u64, Option<(u64, String)>) {
+        let (force, accepted) = self.versions();
+        (force, accepted, self.refused.clone())
     }
 
     /// A beat that was sent at a moment is answered. What is announced is accepted in this very step, before
@@ -93,7 +99,7 @@
         if word.fresh == Micros(0) {
             return;
         }
-        let own = self.says().0;
+        let own = self.versions().0;
         // What is older than what was heard already says nothing, not even that this process is fresh: it may be of a
         // leader that was followed before the announcement.
         if word.force < own || word.last < self.last {
@@ -115,7 +121,7 @@
             self.refused = None;
         }
         // What can't be read can't be gone by: this process is unsure then, and says why.
-        if self.says().0 != word.force {
+        if self.versions().0 != word.force {
             self.until = None;
             return;
         }
@@ -126,7 +132,7 @@
 
     /// How sure it is at an instant.
     pub fn sure(&self, now: Boot) -> Sure {
-        let force = self.says().0;
+        let force = self.versions().0;
         let fresh = self.until.is_some_and(|until| now < until) || mutant::on(Mutant::FreshForGood);
         match (&self.accepted, self.until) {
             (None, None) if self.force.is_none() => Sure::None,
