Measurements begin on a rig in one place

Need: five measurements each made the scenario, its options, a folder and a rig with the same five lines.

Change: on_rig does that once.

--- a/trials/src/measure.rs
+++ b/trials/src/measure.rs
@@ -45,17 +45,28 @@
     toml::from_str(&format!("about = \"\"\nstep = []\n{settings}")).map_err(|e| e.to_string())
 }
 
-fn options(program: &Path) -> Options {
-    Options { program: program.to_owned(), seed: 1, mutant: None, patience: PATIENCE, keep: None }
+/// Measures on a rig with these settings, of which nothing is started yet; its folder goes with it.
+fn on_rig<T>(
+    program: &Path,
+    name: &str,
+    settings: &str,
+    act: impl FnOnce(&mut Rig<'_>) -> Result<T, String>,
+) -> Result<T, String> {
+    let scenario = scenario(settings)?;
+    let options =
+        Options { program: program.to_owned(), seed: 1, mutant: None, patience: PATIENCE, keep: None };
+    let folder = std::env::temp_dir().join(format!("amberspindle-{name}-{}", std::process::id()));
+    let _scratch = crate::process::Scratch(folder.clone(), false);
+    act(&mut Rig::new(&scenario, &options, folder)?)
 }
 
 /// Measures so many hand-overs with leases of a second; gives a line of text.
 pub fn hand_overs(program: &Path, how: How, times: usize) -> Result<String, String> {
-    let scenario = scenario("takers = [4, 5]\n")?;
-    let options = options(program);
-    let folder = std::env::temp_dir().join(format!("amberspindle-measure-{}-{how:?}", std::process::id()));
-    let _scratch = crate::process::Scratch(folder.clone(), false);
-    let mut rig = Rig::new(&scenario, &options, folder)?;
+    let name = format!("measure-{how:?}");
+    on_rig(program, &name, "takers = [4, 5]\n", |rig| hand_overs_on(rig, how, times))
+}
+
+fn hand_overs_on(rig: &mut Rig<'_>, how: How, times: usize) -> Result<String, String> {
     rig.begin()?;
     let mut spans = Vec::new();
     for _ in 0..times {
--- a/trials/src/measure/load.rs
+++ b/trials/src/measure/load.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use super::{options, scenario};
+use super::on_rig;
 use crate::history::{self, Line};
 use crate::run::Rig;
 use crate::scenario::Step;
@@ -37,11 +37,10 @@
     let text = format!(
         "brokers = {brokers}\nlease_ms = 2000\nelection_ms = 150\ndrift = 0.01\ntakers = [{takers}]\n"
     );
-    let scenario = scenario(&text)?;
-    let options = options(program);
-    let folder = std::env::temp_dir().join(format!("amberspindle-load-{}-{brokers}", std::process::id()));
-    let _scratch = crate::process::Scratch(folder.clone(), false);
-    let mut rig = Rig::new(&scenario, &options, folder)?;
+    on_rig(program, &format!("load-{brokers}"), &text, |rig| load_on(rig, brokers, seconds))
+}
+
+fn load_on(rig: &mut Rig<'_>, brokers: usize, seconds: u64) -> Result<String, String> {
     rig.step(&Step::Fault { who: "all".into(), fault: "tell-counts".into(), text: "1".into() })?;
     // Viewers would count as well.
     rig.begin_quietly()?;
@@ -95,11 +94,11 @@
 
 /// How often a duty moves though nothing happens, with all cores of the machine busy.
 pub fn quiet(program: &Path, seconds: u64) -> Result<String, String> {
-    let scenario = scenario("lease_ms = 2000\nelection_ms = 150\ndrift = 0.01\n")?;
-    let options = options(program);
-    let folder = std::env::temp_dir().join(format!("amberspindle-quiet-{}", std::process::id()));
-    let _scratch = crate::process::Scratch(folder.clone(), false);
-    let mut rig = Rig::new(&scenario, &options, folder)?;
+    let settings = "lease_ms = 2000\nelection_ms = 150\ndrift = 0.01\n";
+    on_rig(program, "quiet", settings, |rig| quiet_on(rig, seconds))
+}
+
+fn quiet_on(rig: &mut Rig<'_>, seconds: u64) -> Result<String, String> {
     rig.begin()?;
     rig.step(&Step::Held { duty: "record".into(), acts: 2 })?;
     rig.step(&Step::Held { duty: "idle".into(), acts: 2 })?;
--- a/trials/src/measure/rules.rs
+++ b/trials/src/measure/rules.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-use super::{options, quantiles, scenario};
+use super::{on_rig, quantiles};
 use crate::check;
 use crate::run::Rig;
 use crate::scenario::Step;
@@ -12,11 +12,10 @@
 /// So many changes of a limit with nothing wrong, then as many with one of five brokers cut off, each time another
 /// moment before the change.
 pub fn rules(program: &Path, times: usize) -> Result<String, String> {
-    let scenario = scenario("lease_ms = 1000\n")?;
-    let options = options(program);
-    let folder = std::env::temp_dir().join(format!("amberspindle-rules-{}", std::process::id()));
-    let _scratch = crate::process::Scratch(folder.clone(), false);
-    let mut rig = Rig::new(&scenario, &options, folder)?;
+    on_rig(program, "rules", "lease_ms = 1000\n", |rig| rules_on(rig, times))
+}
+
+fn rules_on(rig: &mut Rig<'_>, times: usize) -> Result<String, String> {
     rig.begin()?;
     rig.step(&Step::Held { duty: "idle".into(), acts: 2 })?;
     let mut told = vec![format!("five brokers, beats each 200 ms, skew_ms 2,000, {times} changes each")];
--- a/trials/src/measure/viewers.rs
+++ b/trials/src/measure/viewers.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use super::{options, scenario};
+use super::on_rig;
 use crate::run::Rig;
 use crate::scenario::Step;
 use crate::viewers::ask;
@@ -14,11 +14,10 @@
 
 /// Rounds of each of the three, in turn, so that what else the machine does falls on all alike.
 pub fn viewers(program: &Path, rounds: usize, seconds: u64) -> Result<String, String> {
-    let scenario = scenario("lease_ms = 1000\n")?;
-    let options = options(program);
-    let folder = std::env::temp_dir().join(format!("amberspindle-viewers-{}", std::process::id()));
-    let _scratch = crate::process::Scratch(folder.clone(), false);
-    let mut rig = Rig::new(&scenario, &options, folder)?;
+    on_rig(program, "viewers", "lease_ms = 1000\n", |rig| viewers_on(rig, rounds, seconds))
+}
+
+fn viewers_on(rig: &mut Rig<'_>, rounds: usize, seconds: u64) -> Result<String, String> {
     rig.begin_quietly()?;
     rig.step(&Step::Held { duty: "idle".into(), acts: 2 })?;
     let alone = rig.start_alone("alone")?;
