Listen at a second address for check and drains; draining is a phase of the node

Checked: the log shows clients' connections ended at 0.4 s and only the front's tests (another address) connecting; ends went out on those (node/mod.rs, accepted: what is owed is written on any connection) or on one already shut (viewers.rs, say_anywhere). Ruled out: ends that expired (they were written), a late edge server (its releases are in the log).

Change: console with a bounded table of callers, phase with what it lets go and when; connections that sessions were set up on stay until those are over; ends wait for a connection that has said more than tests; the tests' support is divided by concern.

--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -372,7 +372,7 @@
             None => {
                 let conn = self.slots[broker].node.number();
                 self.slots[broker].viewers = Some(conn);
-                self.with(broker, |node, out| node.accepted(now, conn, Front::Platform, out));
+                self.with(broker, |node, _| node.accepted(now, conn, Front::Platform));
                 conn
             }
         };
--- a/src/config.rs
+++ b/src/config.rs
@@ -47,6 +47,8 @@
     pub idle: Micros,
     /// The platform's front, if it is on.
     pub listen: Option<SocketAddr>,
+    /// The second address, where staff call, if there is one.
+    pub console: Option<SocketAddr>,
     /// The notice board, if there is one.
     pub board: Option<SocketAddr>,
     /// The notice board's list at the start.
@@ -246,6 +248,7 @@
             ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
             ("settings", self.settings != new.settings || self.names != new.names),
             ("listen", self.listen != new.listen),
+            ("console", self.console != new.console),
             ("whip.listen", listen(self) != listen(new)),
             ("eureka", self.eureka != new.eureka),
             ("watch", self.watch != new.watch),
@@ -276,7 +279,7 @@
         };
         let limits = file.limits.clone().unwrap_or_default();
         let value = json!({
-            "name": file.name, "seed": file.seed, "settings": file.settings, "board": file.board.map(|a| a.0),
+            "name": file.name, "seed": file.seed, "settings": file.settings, "board": file.board.map(|a| a.0), "console": file.console.map(|a| a.0),
             "limits": {"sockets": limits.sockets, "memory_mb": limits.memory_mb},
         });
         let settings = Config::read(&value).map_err(placed);
@@ -315,7 +318,8 @@
         Ok(config)
     }
 
-    /// Reads the configuration of the platform; `LB_NAME` and `LB_LISTEN` repeat what the file says.
+    /// Reads the configuration of the platform; `LB_NAME`, `LB_LISTEN` and `LB_CONSOLE` go before what the file
+    /// says.
     pub fn platform(env: &BTreeMap<String, String>) -> Read<Config> {
         let Some(path) = env.get("LB_CONFIG") else { return wrong("LB_CONFIG", "not set") };
         let text =
@@ -325,7 +329,7 @@
         if !value.is_object() {
             return wrong("LB_CONFIG", "not an object");
         }
-        for (key, name) in [("name", "LB_NAME"), ("listen", "LB_LISTEN")] {
+        for (key, name) in [("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("console", "LB_CONSOLE")] {
             if let Some(set) = env.get(name) {
                 value[key] = json!(set);
             }
@@ -380,6 +384,7 @@
             idle: limit("Keepalive", 0.0),
             settings: parsed,
             listen: root.address("listen")?,
+            console: root.address("console")?,
             board: root.address("board")?,
             known: root.get("known").map_or(Value::Null, |k| k.value.clone()),
             servers: Vec::new(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod mutant;
 pub mod net;
 pub mod node;
+pub mod operate;
 pub mod peers;
 pub mod platform;
 pub mod quorum;
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -18,9 +18,9 @@
 /// A peer that takes nothing for so long while there is something to write is let go.
 pub(super) const STALLED: Duration = Duration::from_secs(2);
 /// How long a peer has to close a connection too that this side has ended.
-const PARTING: Duration = Duration::from_millis(500);
+pub(super) const PARTING: Duration = Duration::from_millis(500);
 /// Time between looks for a connection that can be let go, while descriptors are short.
-const ROOM: Duration = Duration::from_millis(50);
+pub(super) const ROOM: Duration = Duration::from_millis(50);
 /// What one connection may bring in one turn, before the others have theirs.
 pub(super) const TURN: usize = 16 * 1024;
 
@@ -146,7 +146,7 @@
     let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
     let conn = step(&shared, |node, _, _| node.number());
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
-    step(&shared, |node, now, out| node.accepted(now, conn, front, out));
+    step(&shared, |node, now, _| node.accepted(now, conn, front));
     let reason = drive(&shared, conn, &stream, &outbox).await;
     if outbox.closing() {
         part(&shared, &stream, &outbox).await;
--- /dev/null
+++ b/src/net/console.rs
@@ -0,0 +1,112 @@
+//! The second address: callers' connections, each read until its call is whole, answered and ended.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{self, Read as _};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::rc::Rc;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncWriteExt, future};
+use tracing::{info, warn};
+
+use super::conns::{PARTING, STALLED, code, within};
+use super::outbox::Bell;
+use super::{Handle, micros, step};
+use crate::operate::console::{BadCall, Call, CallerId, Callers, Line, PATIENCE};
+
+/// Callers at one time; each costs a descriptor.
+const MOST: usize = 32;
+
+/// Who is connected, each with the bell that ends its wait.
+struct Table {
+    callers: Callers,
+    bells: BTreeMap<CallerId, Rc<Bell>>,
+}
+
+/// Reads until a call is whole.
+async fn call(shared: &Handle, stream: &Async<TcpStream>) -> Result<Call, BadCall> {
+    let mut line = Line::default();
+    loop {
+        let read = stream.read_with(|mut s| {
+            let mut buffer = shared.buffer.borrow_mut();
+            s.read(&mut buffer).map(|n| (n, line.feed(&buffer[..n])))
+        });
+        match read.await {
+            Ok((_, Some(call))) => return call,
+            Ok((0, None)) | Err(_) => return Err(BadCall::Unfinished),
+            Ok((_, None)) => {}
+        }
+    }
+}
+
+/// Answers one caller.
+async fn caller(
+    shared: Handle,
+    table: Rc<RefCell<Table>>,
+    stream: Async<TcpStream>,
+    id: CallerId,
+    bell: Rc<Bell>,
+) {
+    let no_room = async {
+        bell.heard().await;
+        Err(BadCall::NoRoom)
+    };
+    let too_late = async {
+        Timer::after(micros(PATIENCE)).await;
+        Err(BadCall::TooLate)
+    };
+    let call = future::or(call(&shared, &stream), future::or(no_room, too_late)).await;
+    {
+        let mut table = table.borrow_mut();
+        table.callers.left(id);
+        table.bells.remove(&id);
+    }
+    let answer = step(&shared, |node, now, _| node.call(now, call));
+    match call {
+        Ok(Call::Check | Call::Vars) => {}
+        Ok(call) => info!(event = "console", call = ?call, answer = answer.trim_end()),
+        Err(reason) => info!(event = "console", reason = %reason),
+    }
+    let mut writer = &stream;
+    if within(STALLED, writer.write_all(answer.as_bytes())).await.is_err() {
+        return;
+    }
+    // Closing a socket with unread input would reset the connection, and the answer with it.
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let rest = async {
+        while stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await? > 0 {
+            future::yield_now().await;
+        }
+        Ok(())
+    };
+    let _ = within(PARTING, rest).await;
+}
+
+/// Lets callers in as long as the program runs.
+pub(super) async fn console(shared: Handle, listener: Async<TcpListener>) {
+    let table = Rc::new(RefCell::new(Table { callers: Callers::new(MOST), bells: BTreeMap::new() }));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(event = "accept failed", front = "console", reason = code(&error));
+                let _: io::Result<()> = within(super::conns::ROOM, future::pending()).await;
+                continue;
+            }
+        };
+        let bell = Rc::new(Bell::default());
+        let id = {
+            let mut table = table.borrow_mut();
+            let (id, oldest) = table.callers.come();
+            if let Some(bell) = oldest.and_then(|oldest| table.bells.remove(&oldest)) {
+                bell.ring();
+            }
+            table.bells.insert(id, bell.clone());
+            id
+        };
+        shared.executor.spawn(caller(shared.clone(), table.clone(), stream, id, bell)).detach();
+        // It may have written already: it has its turn before the next one comes.
+        future::yield_now().await;
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 mod clock;
 mod conns;
+mod console;
 mod files;
 mod outbox;
 pub mod quorum;
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -85,6 +85,13 @@
         );
         fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most)));
     }
+    if let Some(address) = config.console {
+        let listener = Async::<TcpListener>::bind(address)
+            .map_err(|e| io::Error::new(e.kind(), format!("console: can't listen on {address}: {e}")))?;
+        let (name, address) = (config.name.as_str(), listener.get_ref().local_addr()?);
+        info!(event = "listens", name, address = %address, front = "console", "{name} listens on {address} for console");
+        shared.executor.spawn(super::console::console(shared.clone(), listener)).detach();
+    }
     let leave = Rc::new(Bell::default());
     let registry = config.eureka.clone().map(|setup| {
         let registry = Eureka::new(setup, config.names.clone());
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -27,7 +27,7 @@
     let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
     let conn = step(&shared, |node, _, _| node.number());
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
-    step(&shared, |node, now, out| node.accepted(now, conn, Front::Platform, out));
+    step(&shared, |node, now, _| node.accepted(now, conn, Front::Platform));
     assert_eq!(async_io::block_on(drive(&shared, conn, &stream, &outbox)), "too-large");
     let (mut rest, mut left) = (0, vec![0; TURN]);
     while let Ok(n) = stream.get_ref().read(&mut left) {
@@ -48,7 +48,7 @@
     let outbox = Rc::new(Outbox::new(outbox::CLIENTS_BYTES));
     let conn = step(&shared, |node, _, _| node.number());
     shared.boxes.borrow_mut().insert(conn, outbox.clone());
-    step(&shared, |node, now, out| node.accepted(now, conn, Front::Platform, out));
+    step(&shared, |node, now, _| node.accepted(now, conn, Front::Platform));
     let class = config.names.classes[0].clone();
     let last_words = std::thread::spawn(move || {
         assert_eq!(peer.read(&mut [0; 16]).unwrap(), 0, "it is told of the end first");
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! fronts. Fed connections and bytes, gives [`Command`]s.
 
 mod http;
+mod operate;
 mod ruled;
 mod servers;
 mod viewers;
@@ -14,6 +15,7 @@
 use crate::edge::Pool;
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
+use crate::operate::phase::Phase;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::platform::viewer;
 use crate::quorum::frame::Counts;
@@ -26,8 +28,11 @@
 /// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
 /// once more, and the program and its buffers need the rest.
 const SESSIONS_PART: usize = 4;
-/// How long a release waits for a connection that it could go out on.
-const OWED_KEPT: Micros = Micros(8_000_000);
+/// How long a release waits for a connection that it could go out on: as long as a drain may take, in which clients
+/// have none here. Late is better than never, as its client goes by it that the session plays.
+const OWED_KEPT: Micros = Micros(60_000_000);
+/// No more of them wait.
+const OWED_MOST: usize = 4096;
 /// Keeps the ids of the second front apart from the module's random numbers.
 const WHIP_SEED: u64 = 0x5748_4950;
 /// Time between looks at connections.
@@ -70,7 +75,9 @@
     /// What the list says of the servers, and when they started last.
     servers: BTreeMap<ServerId, (ServerState, Option<Micros>)>,
     look_at: Micros,
-    stopping: bool,
+    /// Whether it serves, drains or ends, and when clients' connections are looked at for that.
+    phase: Phase,
+    let_go_at: Micros,
     log: Vec<String>,
     /// Requests refused and attempts sent since the start.
     refusals: u64,
@@ -106,7 +113,8 @@
             owed: VecDeque::new(),
             servers: BTreeMap::new(),
             look_at: Micros(0),
-            stopping: false,
+            phase: Phase::default(),
+            let_go_at: Micros::MAX,
             log: Vec::new(),
             refusals: 0,
             attempts: 0,
@@ -193,9 +201,9 @@
 
     /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
     pub fn stop(&mut self) {
-        self.stopping = true;
+        self.phase.end();
         if let Some(whip) = &mut self.whip {
-            whip.stop();
+            whip.keep(false);
         }
     }
 
@@ -212,26 +220,21 @@
     /// When [`Node::tick`] is wanted next.
     pub fn next_alarm(&self) -> Micros {
         let alarms = [self.broker.next_alarm(), self.links.next_due(), self.pool.next_due()];
-        alarms.into_iter().flatten().fold(self.look_at, Micros::min)
+        alarms.into_iter().flatten().fold(self.look_at.min(self.let_go_at), Micros::min)
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.links.write_due(now, out);
         self.pool.tick(now, out);
+        self.let_go(now, out);
         self.tell(now, Input::Tick, out);
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
             self.links.tick(now, out);
-            let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
-            for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
-                if let Some(reason) = c.overdue(now) {
-                    c.closing = true;
-                    out.push(Command::Close(*conn, reason));
-                }
-            }
+            self.close_overdue(now, out);
             self.whip(now, out, |whip, sure, wishes| whip.tick(now, sure, wishes));
         }
     }
@@ -293,7 +296,7 @@
     }
 
     /// A client's connection was accepted.
-    pub fn accepted(&mut self, now: Micros, conn: ConnId, front: Front, out: &mut Vec<Command>) {
+    pub fn accepted(&mut self, now: Micros, conn: ConnId, front: Front) {
         if front == Front::Whip {
             if let Some(whip) = &mut self.whip {
                 whip.accepted(now, conn);
@@ -301,12 +304,6 @@
             return;
         }
         self.viewers.insert(conn, ViewerConn { used: now, ..ViewerConn::default() });
-        // What waited for a connection goes out on it.
-        for (until, line) in std::mem::take(&mut self.owed) {
-            if until > now {
-                self.say(now, Some(conn), &line, out);
-            }
-        }
     }
 
     /// A connection to a server has come up.
--- /dev/null
+++ b/src/node/operate.rs
@@ -0,0 +1,69 @@
+//! What staff call for at the second address, and clients' connections that a broker lets go.
+
+use std::collections::BTreeSet;
+
+use super::Node;
+use crate::api::Micros;
+use crate::operate::console::{Answer, BadCall, Call};
+use crate::platform::links::{Command, ConnId};
+
+/// Time between looks at clients' connections while they are let go.
+const LET_GO_EVERY: Micros = Micros(25_000);
+
+impl Node {
+    /// Answers a call, or what is none.
+    pub fn call(&mut self, now: Micros, call: Result<Call, BadCall>) -> String {
+        let answer = match call {
+            Ok(Call::Check) => match self.phase.unready() {
+                None => Answer::Success("ready"),
+                Some(why) => Answer::Failure(why.word().to_owned()),
+            },
+            Ok(Call::Vars) => Answer::Figures(String::new()),
+            Ok(Call::DrainOn) => {
+                let new = self.phase.drain(now);
+                self.let_go_at = self.phase.lets_go_from().unwrap_or(Micros::MAX);
+                if let Some(whip) = &mut self.whip {
+                    whip.keep(false);
+                }
+                Answer::Success(if new { "draining" } else { "draining already" })
+            }
+            Ok(Call::DrainOff) => {
+                let over = self.phase.undrain();
+                self.let_go_at = Micros::MAX;
+                if let Some(whip) = self.whip.as_mut().filter(|_| self.phase.unready().is_none()) {
+                    whip.keep(true);
+                }
+                Answer::Success(if over { "serving" } else { "was not draining" })
+            }
+            Err(reason) => Answer::Failure(reason.to_string()),
+        };
+        answer.encode()
+    }
+
+    /// Lets clients' connections go that the phase has no use for. What stands on none of them plays on.
+    pub(super) fn let_go(&mut self, now: Micros, out: &mut Vec<Command>) {
+        if now < self.let_go_at {
+            return;
+        }
+        self.let_go_at = now + LET_GO_EVERY;
+        let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
+        for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
+            let quiet = !c.closing && c.open.is_empty() && c.begun.is_none();
+            if quiet && self.phase.lets_go(now, c.used, c.spoke) {
+                c.closing = true;
+                out.push(Command::Close(*conn, "draining"));
+            }
+        }
+    }
+
+    /// Clients' connections that are overdue; those that a session was set up on stay.
+    pub(super) fn close_overdue(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
+        for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
+            if let Some(reason) = c.overdue(now) {
+                c.closing = true;
+                out.push(Command::Close(*conn, reason));
+            }
+        }
+    }
+}
--- a/src/node/viewers.rs
+++ b/src/node/viewers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Node, OWED_KEPT};
+use super::{Node, OWED_KEPT, OWED_MOST};
 use crate::api::*;
 use crate::broker::Input;
 use crate::message::line::Line;
@@ -27,6 +27,8 @@
     pub(super) begun: Option<Micros>,
     /// It has said something whole.
     pub(super) spoke: bool,
+    /// It has said more than tests: it is a viewer's.
+    pub(super) asked: bool,
     /// It has used the id of a session that is held already: it ends once all it waits for is answered, as an
     /// answer of its own to the second set-up could be taken for that of the first.
     pub(super) repeats: bool,
@@ -52,8 +54,13 @@
 }
 impl Node {
     pub(super) fn said(&mut self, now: Micros, conn: ConnId, said: Said, out: &mut Vec<Command>) {
+        if !matches!(said, Said::Ping(_)) {
+            self.pay_owed(now, conn, out);
+        }
         match said {
-            Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, !self.stopping), out),
+            Said::Ping(id) => {
+                self.say(now, Some(conn), &viewer::pong(id, self.phase.unready().is_none()), out)
+            }
             Said::Release(id) => {
                 self.forget(id);
                 if self.broker.knows(id) {
@@ -83,6 +90,19 @@
         }
     }
 
+    /// What waited for a connection goes out on one that has proved to be a viewer's: who only tests hears of no
+    /// sessions (seen on a day with a drain, when the front's tests were the only connections).
+    fn pay_owed(&mut self, now: Micros, conn: ConnId, out: &mut Vec<Command>) {
+        if let Some(c) = self.viewers.get_mut(&conn) {
+            c.asked = true;
+        }
+        for (until, line) in std::mem::take(&mut self.owed) {
+            if until > now {
+                self.say(now, Some(conn), &line, out);
+            }
+        }
+    }
+
     /// A set-up under an id that is in use. The first keeps its single answer; the sender of the second is told by
     /// a failure, or by a close where a line with that id could mean the first.
     pub(super) fn taken(&mut self, now: Micros, conn: ConnId, id: SessionId, out: &mut Vec<Command>) {
@@ -144,10 +164,14 @@
         line: Line,
         out: &mut Vec<Command>,
     ) {
-        let open = home.filter(|c| self.viewers.contains_key(c));
-        match open.or_else(|| self.viewers.last_key_value().map(|(conn, _)| *conn)) {
+        // What is written behind the end of a connection reaches nobody.
+        let open = |conn: &ConnId| self.viewers.get(conn).is_some_and(|c| !c.closing && c.asked);
+        match home.filter(open).or_else(|| self.viewers.keys().rev().copied().find(open)) {
             Some(conn) => self.say(now, Some(conn), &line, out),
-            None => self.owed.push_back((now + OWED_KEPT, line)),
+            None => {
+                self.owed.push_back((now + OWED_KEPT, line));
+                self.owed.drain(..self.owed.len().saturating_sub(OWED_MOST));
+            }
         }
     }
 }
--- /dev/null
+++ b/src/operate/mod.rs
@@ -0,0 +1,5 @@
+//! What staff do with a running broker: the calls of the second address, and the phases of its service. No socket,
+//! no clock.
+
+pub mod console;
+pub mod phase;
--- /dev/null
+++ b/src/operate/phase.rs
@@ -0,0 +1,112 @@
+//! The phases of a broker's service: whether tests pass, and which of its clients' connections it lets go.
+
+use crate::api::Micros;
+
+/// The front asks every 0.1 s and keeps sending new connections for 0.2 s after a no (the operators' page on
+/// operating days); before this is over a connection that is let go would only come again here.
+const STILL_SENT: Micros = Micros(400_000);
+/// A connection that nothing is set up on is let go when it has been quiet for so long: clients ask again on open
+/// connections as a rule right behind an answer, and what crosses the end must be sent again.
+const QUIET: Micros = Micros(150_000);
+/// A connection that never said anything has so long: its first request may be under way.
+const FIRST_WORD: Micros = Micros(1_000_000);
+
+/// Why a broker answers tests with no.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unready {
+    /// It drains.
+    Draining,
+    /// It ends.
+    Ending,
+}
+
+impl Unready {
+    /// One word for staff.
+    pub fn word(self) -> &'static str {
+        match self {
+            Unready::Draining => "draining",
+            Unready::Ending => "ending",
+        }
+    }
+}
+
+/// Which phase a broker is in. Draining and ending are told apart, as a drain can be taken back: an end in the
+/// middle of a drain stays an end when the drain is over.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Phase {
+    draining: Option<Micros>,
+    ending: bool,
+}
+
+impl Phase {
+    /// Staff drain the broker; false if it drained already.
+    pub fn drain(&mut self, now: Micros) -> bool {
+        let new = self.draining.is_none();
+        self.draining.get_or_insert(now);
+        new
+    }
+
+    /// Staff take the drain back; false if there was none.
+    pub fn undrain(&mut self) -> bool {
+        self.draining.take().is_some()
+    }
+
+    /// The process was told to end.
+    pub fn end(&mut self) {
+        self.ending = true;
+    }
+
+    /// Why it is not ready to serve, if it is not.
+    pub fn unready(&self) -> Option<Unready> {
+        match (self.ending, self.draining) {
+            (true, _) => Some(Unready::Ending),
+            (false, Some(_)) => Some(Unready::Draining),
+            (false, None) => None,
+        }
+    }
+
+    /// From when on clients' connections are let go, if they are.
+    pub fn lets_go_from(&self) -> Option<Micros> {
+        self.draining.map(|at| at + STILL_SENT)
+    }
+
+    /// Whether a connection that nothing is set up on is let go: one that was last used then (accepted, asked, or
+    /// answered), and whether it ever said anything.
+    pub fn lets_go(&self, now: Micros, used: Micros, spoke: bool) -> bool {
+        let quiet = if spoke { QUIET } else { FIRST_WORD };
+        self.lets_go_from().is_some_and(|from| now >= from) && now - used >= quiet
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: u64 = 1_000_000;
+
+    #[test]
+    fn a_drain_says_no_at_once_and_lets_connections_go_once_the_front_sends_none() {
+        let mut phase = Phase::default();
+        assert!(phase.unready().is_none() && !phase.lets_go(Micros(9 * S), Micros(0), true));
+        assert!(phase.drain(Micros(10 * S)) && !phase.drain(Micros(11 * S)));
+        assert_eq!(phase.unready(), Some(Unready::Draining));
+        let quiet = |now: u64, used: u64, spoke| phase.lets_go(Micros(now), Micros(used), spoke);
+        assert!(!quiet(10 * S + 399_000, 0, true), "the front may still send");
+        assert!(quiet(10 * S + 400_000, 0, true) && !quiet(10 * S + 400_000, 10 * S + 300_000, true));
+        assert!(!quiet(10 * S + 400_000, 10 * S, false) && quiet(11 * S, 10 * S, false));
+    }
+
+    /// Guards against a drain's end that takes back an end of the process, and against quick turns.
+    #[test]
+    fn the_end_of_a_drain_takes_back_the_drain_and_nothing_else() {
+        let mut phase = Phase::default();
+        for n in 0..100 {
+            assert!(phase.drain(Micros(n)) && phase.undrain() && !phase.undrain());
+            assert!(phase.unready().is_none() && phase.lets_go_from().is_none());
+        }
+        phase.drain(Micros(S));
+        phase.end();
+        assert!(phase.undrain());
+        assert_eq!(phase.unready(), Some(Unready::Ending));
+    }
+}
--- a/src/records/operator.rs
+++ b/src/records/operator.rs
@@ -35,6 +35,10 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub platform: Option<PlatformRecord>,
+    /// The second address, where staff call for figures and drains; left out: it is off.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub console: Option<Address>,
     /// The WHIP and WHEP front; left out: it is off.
     #[garde(dive(&()))]
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -179,9 +179,9 @@
         self.setup.titles = titles;
     }
 
-    /// From now on each connection ends with its next response.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Whether connections are kept; else each ends with its next response.
+    pub fn keep(&mut self, kept: bool) {
+        self.stopping = !kept;
     }
 
     /// Whether a session is one of this front's.
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -285,7 +285,7 @@
         let (asked, responses, answers) = (self.now, Responses::default(), Vec::new());
         let whole = cut.is_none_or(|cut| cut == bytes.len());
         self.clients.insert(conn, Client { booking, tries, deletes, whole, asked, responses, answers });
-        self.step(|node, now, out| node.accepted(now, conn, Front::Whip, out));
+        self.step(|node, now, _| node.accepted(now, conn, Front::Whip));
         self.step(|node, now, out| node.bytes(now, conn, &bytes[..cut.unwrap_or(bytes.len())], out));
         if cut.is_some() && self.gone(conn) {
             let how = Closed::Ended { unsent: Vec::new(), unfinished: Vec::new(), reset: true };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -40,7 +40,7 @@
 
     fn viewer(&mut self) -> ConnId {
         let conn = self.node.number();
-        self.node.accepted(self.now, conn, Front::Platform, &mut self.out);
+        self.node.accepted(self.now, conn, Front::Platform);
         conn
     }
 
@@ -321,6 +321,9 @@
     world.closed(viewer, &UNSENT);
     world.bytes(edge, &release(ID, cause::NORMAL).finish().unwrap());
     let next = world.viewer();
+    assert_eq!(world.written(next), "", "it may be a test's");
+    let line = json!({"type": "release", "id": "0000000000000001", "fields": {}, "cause": 16});
+    world.bytes(next, format!("{line}\n").as_bytes());
     assert!(world.written(next).contains("\"cause\":16"));
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,11 +1,12 @@
 //! The shared helper of the network tests: the program as a process, stand-in edge servers, and clients.
-#![allow(dead_code)] // each test file uses its own part
+#![allow(dead_code, unused_imports)] // each test file uses its own part
 
-use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+mod http;
+mod program;
+
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use amberspindle::api::SessionId;
@@ -13,6 +14,9 @@
 use amberspindle::message::{Kind, cause};
 use serde_json::{Value, json};
 
+pub use http::{Reply, ask, http, patch, reply};
+pub use program::{Program, config, starting, tempdir};
+
 /// Nothing here takes so long; a test that waits for it in vain fails instead of hanging.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -193,199 +197,6 @@
     })
 }
 
-/// Held while a process is started, and while a file is written whose closing matters: a process that another
-/// test starts meanwhile has the file open too until its own program runs, and closes it only then. A file that
-/// was renamed in between seems to be written to again (seen in one run of eight of the tests of watched files).
-pub fn starting() -> MutexGuard<'static, ()> {
-    static STARTING: Mutex<()> = Mutex::new(());
-    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// The program, ended with the test.
-pub struct Program {
-    child: Child,
-    pub fronts: BTreeMap<String, SocketAddr>,
-    /// Its log, line by line.
-    pub log: Arc<(Mutex<Vec<String>>, Condvar)>,
-    pub files: tempdir::Dir,
-}
-
-pub mod tempdir {
-    //! A folder that goes with its value.
-    use std::path::PathBuf;
-    use std::sync::atomic::{AtomicU32, Ordering};
-
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-
-    pub struct Dir(pub PathBuf);
-
-    impl Dir {
-        pub fn new() -> Dir {
-            let name =
-                format!("amberspindle-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-            let path = std::env::temp_dir().join(name);
-            std::fs::create_dir_all(&path).unwrap();
-            Dir(path)
-        }
-
-        pub fn write(&self, name: &str, text: &str) -> PathBuf {
-            let path = self.0.join(name);
-            std::fs::write(&path, text).unwrap();
-            path
-        }
-    }
-
-    impl Drop for Dir {
-        fn drop(&mut self) {
-            let _ = std::fs::remove_dir_all(&self.0);
-        }
-    }
-}
-
-impl Program {
-    /// Starts it with the platform's configuration and waits until its fronts listen.
-    pub fn platform(edges: &[&Edge], deadline: f64) -> Program {
-        Program::platform_with(edges, deadline, &[])
-    }
-
-    /// The same with options of `serve`.
-    pub fn platform_with(edges: &[&Edge], deadline: f64, options: &[&str]) -> Program {
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "known": known(edges), "settings": settings(deadline)});
-        let files = tempdir::Dir::new();
-        let path = files.write("config.json", &config.to_string());
-        let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
-        command.arg("serve").args(options).env("LB_CONFIG", path);
-        command.env_remove("LB_LISTEN").env_remove("LB_NAME");
-        Program::start(command, files, &["viewer"])
-    }
-
-    /// Starts it with an operator's file: the text, and the settings that are put in.
-    pub fn operator(text: &str, deadline: f64, extra: &[(&str, &str)], fronts: &[&str]) -> Program {
-        Program::operator_of(text, &settings(deadline), extra, fronts)
-    }
-
-    /// The same with settings of the caller's.
-    pub fn operator_of(text: &str, settings: &Value, extra: &[(&str, &str)], fronts: &[&str]) -> Program {
-        let settings = toml::to_string(&json!({"settings": settings})).unwrap();
-        let files = tempdir::Dir::new();
-        for (name, text) in extra {
-            files.write(name, text);
-        }
-        let path = files.write("operator.toml", &format!("{text}\n{settings}"));
-        let mut command = Command::new(env!("CARGO_BIN_EXE_amberspindle"));
-        command.arg("serve").arg("--config").arg(path);
-        Program::start(command, files, fronts)
-    }
-
-    /// Starts it with the WHIP front before these servers, and titles `walk` (paid) and `guide`.
-    pub fn whip(edges: &[&Edge], deadline: f64, more: &str) -> Program {
-        let mut text = format!("[whip]\nlisten = \"127.0.0.1:0\"\n{more}\n");
-        for (name, class) in [("walk", "paid"), ("guide", "clip")] {
-            text += &format!("[[title]]\nname = \"{name}\"\nclass = \"{class}\"\nhome = 0\ncopies = 3\n");
-        }
-        for (cell, edge) in edges.iter().enumerate() {
-            let address = edge.address;
-            text += &format!("[[server]]\nid = \"s-{cell}\"\naddress = \"{address}\"\ncell = {cell}\n");
-        }
-        Program::operator(&text, deadline, &[], &["http"])
-    }
-
-    pub fn start(mut command: Command, files: tempdir::Dir, fronts: &[&str]) -> Program {
-        let mut child = {
-            let _alone = starting();
-            command.stdout(Stdio::piped()).spawn().unwrap()
-        };
-        let log = Arc::new((Mutex::new(Vec::new()), Condvar::new()));
-        let (lines, writer) = (BufReader::new(child.stdout.take().unwrap()).lines(), log.clone());
-        std::thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                writer.0.lock().unwrap().push(line);
-                writer.1.notify_all();
-            }
-        });
-        let mut program = Program { child, fronts: BTreeMap::new(), log, files };
-        for front in fronts {
-            let line = program.logged(&format!(" for {front}"));
-            let address = line.split(" listens on ").nth(1).unwrap().split(' ').next().unwrap();
-            program.fronts.insert((*front).to_owned(), address.parse().unwrap());
-        }
-        program
-    }
-
-    /// Waits for a line of the log that holds a text.
-    pub fn logged(&self, text: &str) -> String {
-        let mut lines = self.log.0.lock().unwrap();
-        loop {
-            if let Some(line) = lines.iter().find(|l| l.contains(text)) {
-                return line.clone();
-            }
-            let (next, late) = self.log.1.wait_timeout(lines, PATIENCE).unwrap();
-            assert!(!late.timed_out(), "never logged: {text}\n{}", next.join("\n"));
-            lines = next;
-        }
-    }
-
-    /// Waits for the `n`th line, from 0, that begins with a text.
-    pub fn nth_logged(&self, start: &str, n: usize) -> String {
-        let mut lines = self.log.0.lock().unwrap();
-        loop {
-            if let Some(line) = lines.iter().filter(|l| l.starts_with(start)).nth(n) {
-                return line.clone();
-            }
-            let (next, late) = self.log.1.wait_timeout(lines, PATIENCE).unwrap();
-            assert!(!late.timed_out(), "never logged so often: {start}");
-            lines = next;
-        }
-    }
-
-    pub fn connect(&self, front: &str) -> TcpStream {
-        let stream = TcpStream::connect(self.fronts[front]).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream
-    }
-
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
-        self.signal("-TERM");
-    }
-
-    /// Sends SIGHUP.
-    pub fn hang_up(&self) {
-        self.signal("-HUP");
-    }
-
-    fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let _alone = starting();
-        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
-    }
-
-    /// Ends it at once, as a crash does; its files stay.
-    pub fn killed(mut self) -> tempdir::Dir {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let empty = tempdir::Dir(std::path::PathBuf::new());
-        std::mem::replace(&mut self.files, empty)
-    }
-
-    /// Waits for its end; gives whether it ended well.
-    pub fn ended_well(mut self) -> bool {
-        self.child.wait().unwrap().success()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// The list of the start: one server a cell.
 pub fn known(edges: &[&Edge]) -> Value {
     let target = |(cell, edge): (usize, &&Edge)| {
@@ -395,68 +206,3 @@
     let targets: Vec<Value> = edges.iter().enumerate().map(target).collect();
     json!({"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]})
 }
-
-/// A response as a client sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
-}
-
-impl Reply {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let lines = self.head.lines().filter_map(|l| l.split_once(": "));
-        lines.into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
-    }
-}
-
-/// The bytes of a request.
-pub fn http(method: &str, path: &str, body: Option<&str>) -> Vec<u8> {
-    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: test\r\n");
-    if let Some(body) = body {
-        text += &format!("Content-Type: application/sdp\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    } else {
-        text += "\r\n";
-    }
-    text.into_bytes()
-}
-
-/// The bytes of a PATCH with a fragment of trickle ICE.
-pub fn patch(path: &str, tag: Option<&str>, fragment: &str) -> Vec<u8> {
-    let tag = tag.map_or(String::new(), |tag| format!("If-Match: {tag}\r\n"));
-    let length = fragment.len();
-    let kind = "application/trickle-ice-sdpfrag";
-    format!("PATCH {path} HTTP/1.1\r\nHost: test\r\n{tag}Content-Type: {kind}\r\nContent-Length: {length}\r\n\r\n{fragment}")
-        .into_bytes()
-}
-
-/// Reads one response; none if the connection ends before it.
-pub fn reply(stream: &mut TcpStream) -> Option<Reply> {
-    let mut bytes = Vec::new();
-    let mut byte = [0];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        bytes.push(byte[0]);
-    }
-    let head = String::from_utf8(bytes).unwrap();
-    let mut found = Reply { status: head[9..12].parse().unwrap(), head, body: String::new() };
-    let mut body = vec![0; found.header("content-length").map_or(0, |l| l.parse().unwrap())];
-    stream.read_exact(&mut body).ok()?;
-    found.body = String::from_utf8(body).unwrap();
-    Some(found)
-}
-
-/// One request on a connection of its own.
-pub fn ask(program: &Program, method: &str, path: &str, body: Option<&str>) -> Reply {
-    let mut stream = program.connect("http");
-    stream.write_all(&http(method, path, body)).unwrap();
-    let answer = reply(&mut stream).expect("each request is answered");
-    let mut rest = Vec::new();
-    let _ = stream.shutdown(Shutdown::Write);
-    let _ = stream.read_to_end(&mut rest);
-    assert!(rest.is_empty(), "and answered once");
-    answer
-}
