--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -23,6 +23,11 @@
     fn remembered(&self) -> usize {
         0
     }
+
+    /// Whether a server is given nothing for now, for other reasons than the list's.
+    fn distrusts(&self, _now: Micros, _server: &ServerId) -> bool {
+        false
+    }
 }
 
 impl Decide for Brain {
@@ -33,6 +38,10 @@
     fn remembered(&self) -> usize {
         self.size()
     }
+
+    fn distrusts(&self, now: Micros, server: &ServerId) -> bool {
+        Brain::distrusts(self, now, server)
+    }
 }
 
 /// Makes a module from a seed: one at the start, and one more after each that panicked.
@@ -291,6 +300,12 @@
         self.guard.list()
     }
 
+    /// Listed servers that get nothing new now: they drain, or the module distrusts them.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let avoided = |e: &ServerEntry| e.state != ServerState::Ready || self.module.distrusts(now, &e.id);
+        self.guard.list().iter().filter(|entry| avoided(entry)).count()
+    }
+
     /// Whether any session stands at a server.
     pub fn stands_any(&self, at: &ServerId) -> bool {
         let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
--- a/src/module/brain.rs
+++ b/src/module/brain.rs
@@ -251,6 +251,11 @@
         self.book.servers[i].distrust_until <= self.book.now
     }
 
+    /// Whether a server that the list calls ready gets nothing for now.
+    pub fn distrusts(&self, now: Micros, server: &ServerId) -> bool {
+        self.book.names.get(server).is_some_and(|&i| self.book.servers[i].distrust_until > now)
+    }
+
     fn answered(&mut self, i: usize, out: &mut Vec<Action>) {
         let (now, cold) = (self.book.now, self.set.cold);
         let server = &mut self.book.servers[i];
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -61,7 +61,12 @@
             let piece = stream.write_with(|mut s| outbox.gather(|slices| s.write_vectored(slices)));
             match within(STALLED, piece).await {
                 Ok(0) => return "write-zero",
-                Ok(n) => outbox.written(n),
+                Ok(n) => {
+                    let whole = outbox.written(n);
+                    if !whole.is_empty() {
+                        shared.node.borrow_mut().relayed(conn, &whole);
+                    }
+                }
                 Err(error) if error.kind() == io::ErrorKind::TimedOut => return "stalled",
                 Err(error) => return code(&error),
             }
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -152,8 +152,9 @@
         write(&slices)
     }
 
-    /// So many bytes were written.
-    pub fn written(&self, mut n: usize) {
+    /// So many bytes were written; gives the set-ups that were written whole with them.
+    pub fn written(&self, mut n: usize) -> Vec<SessionId> {
+        let mut whole = Vec::new();
         let mut queue = self.queue.borrow_mut();
         self.wrote.set(self.wrote.get() || n > 0);
         self.bytes.set(self.bytes.get().saturating_sub(n));
@@ -162,9 +163,10 @@
             && n >= bytes.len()
         {
             n -= bytes.len();
-            queue.pop_front();
+            whole.extend(queue.pop_front().and_then(|(_, tag)| tag));
         }
         self.offset.set(n);
+        whole
     }
 
     /// Set-ups of which not a byte was written.
@@ -189,11 +191,11 @@
         outbox.push(vec![1; 10], Some(SessionId(1)));
         outbox.push(vec![2; 10], Some(SessionId(2)));
         assert_eq!(outbox.unsent(), [SessionId(1), SessionId(2)]);
-        outbox.written(1);
+        assert!(outbox.written(1).is_empty());
         assert_eq!(outbox.unsent(), [SessionId(2)]);
-        outbox.written(9);
+        assert_eq!(outbox.written(9), [SessionId(1)]);
         assert_eq!(outbox.unsent(), [SessionId(2)]);
-        outbox.written(10);
+        assert_eq!(outbox.written(10), [SessionId(2)]);
         assert!(outbox.unsent().is_empty());
     }
 
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -25,6 +25,7 @@
     let new = match read {
         Ok(new) => new,
         Err(problem) => {
+            shared.node.borrow_mut().reread(false);
             return warn!(event = "reload refused", problem = %problem);
         }
     };
@@ -52,6 +53,7 @@
         shared.board_moved.ring();
     }
     (old.board, old.known, old.servers) = (new.board, new.known, new.servers);
+    shared.node.borrow_mut().reread(true);
     info!(event = "reloaded", last = shared.board.borrow().last());
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::edge::Pool;
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
+use crate::operate::figures::{Figures, Outcome};
 use crate::operate::phase::Phase;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::platform::viewer;
@@ -78,6 +79,7 @@
     /// Whether it serves, drains or ends, and when clients' connections are looked at for that.
     phase: Phase,
     let_go_at: Micros,
+    figures: Figures,
     log: Vec<String>,
     /// Requests refused and attempts sent since the start.
     refusals: u64,
@@ -115,6 +117,7 @@
             look_at: Micros(0),
             phase: Phase::default(),
             let_go_at: Micros::MAX,
+            figures: Figures::default(),
             log: Vec::new(),
             refusals: 0,
             attempts: 0,
@@ -188,6 +191,7 @@
     /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
     pub fn remembered(&self) -> usize {
         let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
+        let own = own.into_iter().chain([self.figures.remembered()]);
         let told = self.tracer.as_ref().map_or(0, Tracer::remembered);
         let others = [
             self.links.remembered(),
@@ -196,7 +200,7 @@
             self.broker.remembered(),
             told,
         ];
-        own.into_iter().chain(others).max().unwrap_or(0)
+        own.chain(others).max().unwrap_or(0)
     }
 
     /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
@@ -241,6 +245,7 @@
 
     /// A request goes to the core, unless the operator's script refuses it.
     fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
+        self.figures.asked(request.id, named(&self.names.classes, request.class));
         if let Some(tracer) = &mut self.tracer {
             let most = self.settings.classes.get(request.class).map_or(Rung(0), |class| class.top);
             let class = (named(&self.names.classes, request.class), most);
@@ -413,6 +418,9 @@
     }
 
     fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        if let Input::Left(id) = &input {
+            self.figures.left(*id);
+        }
         if let Some(tracer) = &mut self.tracer {
             tracer.told(now, &input);
         }
@@ -429,12 +437,17 @@
             tracer.decided(now, &effect);
         }
         match &effect {
-            Effect::Refused(..) => self.refusals += 1,
+            Effect::Refused(id, _) => {
+                self.refusals += 1;
+                self.figures.answered(*id, Outcome::Throttled);
+            }
+            Effect::Failed(id, _) => self.figures.answered(*id, Outcome::Faulted),
             Effect::SetUp(_) => self.attempts += 1,
             _ => {}
         }
         match effect {
             Effect::Plays(id, answer) if self.owned_by_whip(id) => {
+                self.figures.answered(id, Outcome::Fulfilled);
                 let ice = self.pool.ice(id).to_vec();
                 self.whip(now, out, |whip, _, wishes| whip.plays(now, id, answer, ice, wishes));
                 self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
@@ -472,8 +485,12 @@
                 let home = self.answered(now, id);
                 let line = std::str::from_utf8(&description).ok().map(|text| viewer::answer(id, text));
                 match line.filter(|line| line.encode().is_ok()) {
-                    Some(line) => self.reply(now, home, &line, out),
+                    Some(line) => {
+                        self.figures.answered(id, Outcome::Fulfilled);
+                        self.reply(now, home, &line, out);
+                    }
                     None => {
+                        self.figures.answered(id, Outcome::Faulted);
                         // What can't be passed on unchanged is not passed on.
                         self.reply(now, home, &viewer::failed(id), out);
                         self.forget(id);
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 
 use super::Node;
-use crate::api::Micros;
+use crate::api::{Micros, SessionId};
 use crate::operate::console::{Answer, BadCall, Call};
+use crate::operate::figures::Gauges;
 use crate::platform::links::{Command, ConnId};
 
 /// Time between looks at clients' connections while they are let go.
@@ -18,7 +19,7 @@
                 None => Answer::Success("ready"),
                 Some(why) => Answer::Failure(why.word().to_owned()),
             },
-            Ok(Call::Vars) => Answer::Figures(String::new()),
+            Ok(Call::Vars) => Answer::Figures(self.read_figures(now)),
             Ok(Call::DrainOn) => {
                 let new = self.phase.drain(now);
                 self.let_go_at = self.phase.lets_go_from().unwrap_or(Micros::MAX);
@@ -40,6 +41,30 @@
         answer.encode()
     }
 
+    /// The figures as they are now.
+    fn read_figures(&mut self, now: Micros) -> String {
+        self.figures.classes(&self.names.classes);
+        let gauges = Gauges {
+            // A session that plays is a request that has not ended.
+            open_requests: self.broker.unanswered() + self.broker.standing(),
+            registry_entries: self.servers.len(),
+            out_of_rotation: self.broker.avoided(now),
+        };
+        self.figures.lines(gauges)
+    }
+
+    /// These attempts were written whole on a connection; what clients' connections carry are none.
+    pub fn relayed(&mut self, conn: ConnId, attempts: &[SessionId]) {
+        if self.links.has(conn) || self.pool.has(conn) {
+            attempts.iter().for_each(|id| self.figures.relayed(*id));
+        }
+    }
+
+    /// A new configuration was taken in, or turned down.
+    pub fn reread(&mut self, taken: bool) {
+        self.figures.file(taken);
+    }
+
     /// Lets clients' connections go that the phase has no use for. What stands on none of them plays on.
     pub(super) fn let_go(&mut self, now: Micros, out: &mut Vec<Command>) {
         if now < self.let_go_at {
--- a/src/node/viewers.rs
+++ b/src/node/viewers.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use super::{Node, OWED_KEPT, OWED_MOST};
+use super::{Node, OWED_KEPT, OWED_MOST, named};
 use crate::api::*;
 use crate::broker::Input;
 use crate::message::line::Line;
+use crate::operate::figures::Outcome;
 use crate::platform::links::{Command, ConnId};
 use crate::platform::viewer::{self, Said, Viewer};
 
@@ -78,8 +79,14 @@
                 }
                 self.ask(now, request, description.into_bytes().into(), out);
             }
-            Said::Unfit(id) if self.broker.knows(id) => self.taken(now, conn, id, out),
-            Said::Unfit(id) => self.say(now, Some(conn), &viewer::failed(id), out),
+            Said::Unfit(id, _) if self.broker.knows(id) => self.taken(now, conn, id, out),
+            Said::Unfit(id, class) => {
+                if let Some(class) = class {
+                    self.figures.asked(id, named(&self.names.classes, class));
+                    self.figures.answered(id, Outcome::Faulted);
+                }
+                self.say(now, Some(conn), &viewer::failed(id), out);
+            }
             Said::Playing(request, server) => {
                 self.homes.entry(request.id).or_insert(conn);
                 self.tell(now, Input::Open(request, server.clone()), out);
--- /dev/null
+++ b/src/operate/figures.rs
@@ -0,0 +1,162 @@
+//! What is counted of requests, by class, from the start of the process.
+//!
+//! By hand, and not with a metrics crate: all of it lives on one thread and is four numbers for each class; the crates
+//! bring atomics, label sets and an encoder of another form.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use crate::api::SessionId;
+
+/// How a request was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Fulfilled,
+    /// Refused.
+    Throttled,
+    /// Failed.
+    Faulted,
+}
+
+/// Counts of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests served.
+    pub fulfilled: u64,
+    /// Requests refused.
+    pub throttled: u64,
+    /// Requests failed.
+    pub faulted: u64,
+    /// Attempts written whole to servers.
+    pub relayed: u64,
+}
+
+/// What is looked up at the moment of a reading.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Requests taken and not yet ended: those that wait for their answer, and sessions that play.
+    pub open_requests: usize,
+    /// Servers in the list.
+    pub registry_entries: usize,
+    /// Servers in the list that are avoided now.
+    pub out_of_rotation: usize,
+}
+
+/// All counts.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// By name: a class that goes and comes back goes on counting.
+    classes: BTreeMap<String, Counts>,
+    /// The class under which each unanswered request was taken.
+    open: BTreeMap<SessionId, String>,
+    accepted: u64,
+    invalid: u64,
+}
+
+impl Figures {
+    /// Counts from 0 for these classes too, so that a class is told of before its first request.
+    pub fn classes<'a>(&mut self, names: impl IntoIterator<Item = &'a String>) {
+        for name in names {
+            self.classes.entry(name.clone()).or_default();
+        }
+    }
+
+    /// A request was taken.
+    pub fn asked(&mut self, id: SessionId, class: &str) {
+        self.open.insert(id, class.to_owned());
+    }
+
+    /// It got its final answer.
+    pub fn answered(&mut self, id: SessionId, outcome: Outcome) {
+        let Some(class) = self.open.remove(&id) else { return };
+        let counts = self.classes.entry(class).or_default();
+        match outcome {
+            Outcome::Fulfilled => counts.fulfilled += 1,
+            Outcome::Throttled => counts.throttled += 1,
+            Outcome::Faulted => counts.faulted += 1,
+        }
+    }
+
+    /// Its client gave it up: it is owed no answer.
+    pub fn left(&mut self, id: SessionId) {
+        self.open.remove(&id);
+    }
+
+    /// An attempt of it was written whole.
+    pub fn relayed(&mut self, id: SessionId) {
+        if let Some(class) = self.open.get(&id) {
+            self.classes.entry(class.clone()).or_default().relayed += 1;
+        }
+    }
+
+    /// A file of settings was taken, or turned down.
+    pub fn file(&mut self, taken: bool) {
+        if taken { self.accepted += 1 } else { self.invalid += 1 }
+    }
+
+    /// What is remembered of requests.
+    pub fn remembered(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The lines that staff read.
+    pub fn lines(&self, gauges: Gauges) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, n: u64| {
+            // Writing to a String cannot fail.
+            let _ = writeln!(text, "broker.{name}={n}");
+        };
+        for (class, counts) in &self.classes {
+            let each = [
+                ("fulfilled", counts.fulfilled),
+                ("throttled", counts.throttled),
+                ("faulted", counts.faulted),
+                ("relayed", counts.relayed),
+            ];
+            each.iter().for_each(|(figure, n)| line(&format!("operations.{class}.{figure}"), *n));
+        }
+        line("open_requests", gauges.open_requests as u64);
+        line("registry_entries", gauges.registry_entries as u64);
+        line("out_of_rotation", gauges.out_of_rotation as u64);
+        line("cfg_accepted", self.accepted);
+        line("cfg_invalid", self.invalid);
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_counts_once_under_the_class_that_it_was_taken_under() {
+        let mut figures = Figures::default();
+        figures.classes(&["clip".to_owned(), "paid".to_owned()]);
+        for n in 0..4 {
+            figures.asked(SessionId(n), if n < 3 { "paid" } else { "gone" });
+            figures.relayed(SessionId(n));
+        }
+        figures.answered(SessionId(0), Outcome::Fulfilled);
+        figures.answered(SessionId(0), Outcome::Faulted);
+        figures.answered(SessionId(1), Outcome::Throttled);
+        figures.left(SessionId(2));
+        figures.relayed(SessionId(2));
+        figures.answered(SessionId(2), Outcome::Faulted);
+        figures.answered(SessionId(3), Outcome::Faulted);
+        figures.file(true);
+        figures.file(false);
+        figures.file(false);
+        let gauges = Gauges { open_requests: 1, registry_entries: 13, out_of_rotation: 2 };
+        let told = "broker.operations.clip.fulfilled=0\nbroker.operations.clip.throttled=0\n\
+            broker.operations.clip.faulted=0\nbroker.operations.clip.relayed=0\n\
+            broker.operations.gone.fulfilled=0\nbroker.operations.gone.throttled=0\n\
+            broker.operations.gone.faulted=1\nbroker.operations.gone.relayed=1\n\
+            broker.operations.paid.fulfilled=1\nbroker.operations.paid.throttled=1\n\
+            broker.operations.paid.faulted=0\nbroker.operations.paid.relayed=3\n\
+            broker.open_requests=1\nbroker.registry_entries=13\nbroker.out_of_rotation=2\n\
+            broker.cfg_accepted=1\nbroker.cfg_invalid=2\n";
+        assert_eq!(figures.lines(gauges), told);
+        assert_eq!(figures.remembered(), 0);
+    }
+}
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -2,4 +2,5 @@
 //! no clock.
 
 pub mod console;
+pub mod figures;
 pub mod phase;
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -15,8 +15,8 @@
     SetUp(Request, String),
     /// It names a session that plays at a server already.
     Playing(Request, ServerId),
-    /// It asks for what the settings rule out, so that no server could use it.
-    Unfit(SessionId),
+    /// It asks for what the settings rule out, so that no server could use it; with the class, if that is known.
+    Unfit(SessionId, Option<usize>),
     /// It gives a set-up up, or ends its session.
     Release(SessionId),
     /// It tests the broker.
@@ -51,7 +51,8 @@
             match line.kind {
                 Kind::SetUp => {
                     let id = line.id;
-                    return Ok(Some(set_up(line, now, names, settings).unwrap_or(Said::Unfit(id))));
+                    let class = line.fields.get("class").and_then(|c| Names::index(&names.classes, c));
+                    return Ok(Some(set_up(line, now, names, settings).unwrap_or(Said::Unfit(id, class))));
                 }
                 Kind::Release => return Ok(Some(Said::Release(line.id))),
                 Kind::Ping => return Ok(Some(Said::Ping(line.id))),
