Hand a broker over to a new version under load on an inherited listening socket

Change: the inherited descriptor is duplicated and checked; two processes meet at a Unix socket in TMPDIR, the old one yields in one step (accepts nothing, takes no turn at cold servers, passes sessions), the new one serves from there; what is heard of passed sessions goes on; the old one leaves when nobody waits there. The protocol's two sides are state machines of their own (operate::handover) with their tests.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -103,6 +103,10 @@
         /// What it tells.
         note: Note,
     },
+    /// A session that stands is held by another process from now on.
+    Passed(SessionId),
+    /// Turns at cold servers are this front's if they begin then or later; [`Micros::MAX`]: none.
+    Turns(Micros),
     /// A server was lost with all that stood there.
     Lost(ServerId),
     /// The broker ends: what stands is released on both sides.
@@ -209,6 +213,7 @@
     full_wait: Micros,
     /// What a module that takes the place of another is told again.
     fronts: Option<(u32, u32)>,
+    turns: Option<Micros>,
 }
 
 impl Broker {
@@ -235,6 +240,7 @@
             room: usize::MAX,
             full_wait: Micros(0),
             fronts: None,
+            turns: None,
         }
     }
 
@@ -306,6 +312,17 @@
         self.guard.list().iter().filter(|entry| avoided(entry)).count()
     }
 
+    /// The sessions that stand.
+    pub fn standing_ids(&self) -> Vec<SessionId> {
+        self.sessions.keys().copied().filter(|id| self.server_of(*id).is_some()).collect()
+    }
+
+    /// A session that stands: its request, where, and its rung if that is known.
+    pub fn standing_as(&self, id: SessionId) -> Option<(Request, ServerId, Option<Rung>)> {
+        let session = self.sessions.get(&id)?;
+        Some((session.request.clone(), self.server_of(id)?, session.rung))
+    }
+
     /// Whether any session stands at a server.
     pub fn stands_any(&self, at: &ServerId) -> bool {
         let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
@@ -353,6 +370,18 @@
                 self.fronts = Some((count, place));
                 self.pending.push_back(Event::Fronts { count, place });
             }
+            Input::Passed(id) => {
+                if let Some(Stage::Standing { server, attempt }) =
+                    self.sessions.get(&id).map(|s| s.stage.clone())
+                {
+                    self.remove(id);
+                    self.cancelled(id, attempt, server);
+                }
+            }
+            Input::Turns(from) => {
+                self.turns = Some(from);
+                self.pending.push_back(Event::Turns(from));
+            }
             Input::Tick => {}
         }
         self.run(now, out);
@@ -387,6 +416,7 @@
         self.seed = self.seed.wrapping_add(1);
         self.module = (self.make)(self.seed);
         self.pending.clear();
+        self.pending.extend(self.turns.map(Event::Turns));
         self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
         self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Module(_)));
         let servers = self.guard.list();
--- a/src/config.rs
+++ b/src/config.rs
@@ -47,6 +47,8 @@
     pub idle: Micros,
     /// The platform's front, if it is on.
     pub listen: Option<SocketAddr>,
+    /// A listening socket that this process inherits in the place of `listen`.
+    pub inherited: Option<i32>,
     /// The second address, where staff call, if there is one.
     pub console: Option<SocketAddr>,
     /// The notice board, if there is one.
@@ -334,7 +336,12 @@
                 value[key] = json!(set);
             }
         }
-        let config = Config::read(&value)?;
+        let mut config = Config::read(&value)?;
+        if let Some(number) = env.get("LB_SOCKET_FD") {
+            let read = number.trim().parse().ok().filter(|n| *n >= 0);
+            config.inherited =
+                Some(read.map_or_else(|| wrong("LB_SOCKET_FD", "not a descriptor's number"), Ok)?);
+        }
         if config.listen.is_none() {
             return wrong("listen", "required");
         }
@@ -384,6 +391,7 @@
             idle: limit("Keepalive", 0.0),
             settings: parsed,
             listen: root.address("listen")?,
+            inherited: None,
             console: root.address("console")?,
             board: root.address("board")?,
             known: root.get("known").map_or(Value::Null, |k| k.value.clone()),
--- a/src/module/api.rs
+++ b/src/module/api.rs
@@ -535,6 +535,8 @@
         /// Its number, from 0.
         place: u32,
     },
+    /// Cold turns are this front's if they begin then or later; [`Micros::MAX`]: none.
+    Turns(Micros),
     /// A probe ended.
     Probed {
         /// The server.
--- a/src/module/brain.rs
+++ b/src/module/brain.rs
@@ -138,6 +138,7 @@
             Event::Gone(id) => self.gone(id),
             Event::Timer(_) => self.look(out),
             Event::Fronts { count, place } => (self.set.fronts, self.set.me) = (count.max(1), place),
+            Event::Turns(from) => self.book.turns_from = from,
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
         if !self.book.ticking && !self.book.sessions.is_empty() {
@@ -291,7 +292,7 @@
         let since = (now + (fronts * step - first)) % (fronts * step);
         let begun = Micros(now.saturating_sub(since));
         since < long
-            && self.book.born.is_some_and(|born| begun >= born)
+            && self.book.born.is_some_and(|born| begun >= born.max(self.book.turns_from))
             && server.sent_at.is_none_or(|at| at < begun)
     }
 
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -141,6 +141,8 @@
     pub(crate) by_rack: Vec<Vec<usize>>,
     /// When the front began.
     pub(crate) born: Option<Micros>,
+    /// Cold turns that began before this are another process' of the same front.
+    pub(crate) turns_from: Micros,
     pub(crate) usual: f64,
     pub(crate) usual_at: Micros,
     pub(crate) racks: Vec<Gauge>,
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -10,6 +10,7 @@
 use futures_lite::future;
 use tracing::{info, warn};
 
+use super::handover::Handover;
 use super::outbox::{self, Outbox};
 use super::{Handle, step};
 use crate::node::Front;
@@ -162,7 +163,13 @@
     ended(&shared, conn, &format!("{}:{peer}", front.name()), reason, ended_with(&outbox, reason));
 }
 
-pub(super) async fn accept(shared: Handle, listener: Async<TcpListener>, front: Front, most: usize) {
+pub(super) async fn accept(
+    shared: Handle,
+    listener: Async<TcpListener>,
+    front: Front,
+    most: usize,
+    gate: Option<Rc<Handover>>,
+) {
     loop {
         // Descriptors are few: what can't be held waits in the machine's queue, while room is made.
         while shared.accepted.get() >= most {
@@ -172,7 +179,20 @@
             };
             future::or(shared.room.heard(), look).await;
         }
-        match listener.accept().await {
+        if let Some(gate) = &gate {
+            gate.gate.opened().await;
+        }
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            match &gate {
+                Some(gate) => gate.gate.closed().await,
+                None => future::pending().await,
+            }
+            None
+        };
+        // Accepting is one step: what is given up here accepted nothing.
+        let Some(accepted) = future::or(closed, accepted).await else { continue };
+        match accepted {
             Ok((stream, peer)) => {
                 shared.accepted.set(shared.accepted.get() + 1);
                 shared.executor.spawn(serve(shared.clone(), stream, peer, front)).detach();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,8 @@
 mod conns;
 mod console;
 mod files;
+mod handover;
+mod inherit;
 mod outbox;
 pub mod quorum;
 mod registry;
@@ -54,6 +56,8 @@
     accepted: Cell<usize>,
     room: Bell,
     connect_timeout: Duration,
+    /// The processes before and after this one, where the platform lets versions follow each other under load.
+    handover: RefCell<Option<Rc<handover::Handover>>>,
 }
 
 type Handle = Rc<Shared>;
@@ -82,6 +86,7 @@
             accepted: Cell::new(0),
             room: Bell::default(),
             connect_timeout: micros(config.connect_timeout),
+            handover: RefCell::default(),
         })
     }
 
@@ -94,13 +99,13 @@
 fn step<T>(shared: &Handle, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
     let now = shared.now();
     let mut commands = Vec::new();
-    let (result, lines, told) = {
+    let (result, lines, told, messages) = {
         let mut node = shared.node.borrow_mut();
         if node.has_rules() {
             // Read anew for each step: what is decided after a stall is decided by the moment behind it.
             node.set_boot(quorum::boot_now());
         }
-        (act(&mut node, now, &mut commands), node.take_log(), node.take_trace())
+        (act(&mut node, now, &mut commands), node.take_log(), node.take_trace(), node.take_messages())
     };
     for (at, event) in told {
         event.write(at.0);
@@ -138,6 +143,10 @@
             }
         }
     }
+    if !messages.is_empty() {
+        let handover = shared.handover.borrow().clone();
+        handover.iter().for_each(|handover| handover.told(shared, messages.clone()));
+    }
     shared.bell.ring();
     result
 }
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -84,6 +84,11 @@
         self.leaving.get() && !self.cut.get()
     }
 
+    /// Whether nothing waits to be written.
+    pub fn empty(&self) -> bool {
+        self.queue.borrow().is_empty()
+    }
+
     /// Whether anything was written.
     pub fn wrote(&self) -> bool {
         self.wrote.get()
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -7,15 +7,17 @@
 
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use futures_lite::future;
 use tracing::info;
 
 use super::board::follow;
 use super::clock::unix;
 use super::conns::accept;
+use super::handover::Handover;
 use super::outbox::Bell;
 use super::registry::take_part;
 use super::signals::{signals, whole};
-use super::{Handle, Shared, files, keep_time, micros, quorum, step};
+use super::{Handle, Shared, files, handover, inherit, keep_time, micros, quorum, step};
 use crate::api::Micros;
 use crate::board::Board;
 use crate::config::Config;
@@ -37,6 +39,15 @@
 /// Time between counts that the quorum is told.
 const COUNTED: Duration = Duration::from_millis(250);
 
+/// Waits until this process has nothing left to do, as another serves in its place.
+async fn left(handover: Option<&Rc<Handover>>) -> bool {
+    match handover {
+        Some(handover) => handover.left.heard().await,
+        None => future::pending().await,
+    }
+    true
+}
+
 /// Tells the quorum what the node counts.
 async fn count(shared: Handle, quorum: Rc<quorum::Quorum>) {
     loop {
@@ -69,12 +80,19 @@
     // A third for viewers is the platform's share; the rest is for servers and what is closing.
     let most = config.sockets / 2;
     let mut fronts = Vec::new();
+    let place = || handover::place(&std::env::temp_dir(), &config.name);
+    let handover = config.inherited.map(|_| Handover::new(place()));
+    *shared.handover.borrow_mut() = handover.clone();
     let whip = config.whip.as_ref().map(|w| w.listen);
     for (address, front) in [(config.listen, Front::Platform), (whip, Front::Whip)] {
         let Some(address) = address else { continue };
         let field = if front == Front::Whip { "whip.listen" } else { "listen" };
-        let listener = Async::<TcpListener>::bind(address)
-            .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))?;
+        let inherited = config.inherited.filter(|_| front == Front::Platform);
+        let listener = match inherited {
+            Some(number) => Async::new(inherit::listener(number)?)?,
+            None => Async::<TcpListener>::bind(address)
+                .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))?,
+        };
         let (name, address, front_name) = (&config.name, listener.get_ref().local_addr()?, front.name());
         info!(
             event = "listens",
@@ -83,7 +101,8 @@
             front = front_name,
             "{name} listens on {address} for {front_name}"
         );
-        fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most)));
+        let gate = handover.clone().filter(|_| inherited.is_some());
+        fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most, gate)));
     }
     if let Some(address) = config.console {
         let listener = Async::<TcpListener>::bind(address)
@@ -117,8 +136,17 @@
     }
     let signals = signals(shared.clone(), heard, config.clone(), reread, watched, quorum, stopping.clone());
     shared.executor.spawn(signals).detach();
+    if let Some(handover) = &handover {
+        shared.executor.spawn(handover::start(shared.clone(), handover.clone())).detach();
+    }
     let stop = async {
-        stopping.heard().await;
+        let told = async {
+            stopping.heard().await;
+            false
+        };
+        if future::or(told, left(handover.as_ref())).await {
+            return info!(event = "stopped", reason = "another process serves");
+        }
         let asked = shared.now();
         leave.ring();
         Timer::after(micros(STILL_COMING)).await;
@@ -128,6 +156,16 @@
         loop {
             let (unanswered, standing) = shared.node.borrow().held();
             let now = shared.now();
+            if handover.as_ref().is_some_and(|h| h.yielded()) && now <= answers_by + STILL_COMING {
+                let look = async {
+                    Timer::after(Duration::from_millis(20)).await;
+                    false
+                };
+                if future::or(look, left(handover.as_ref())).await {
+                    return info!(event = "stopped", reason = "another process serves");
+                }
+                continue;
+            }
             let lingers = standing > 0 && now < asked + LINGER;
             if !lingers && (unanswered == 0 || now > answers_by + STILL_COMING) {
                 break;
--- /dev/null
+++ b/src/node/handover.rs
@@ -0,0 +1,150 @@
+//! The hand-over of a broker from one process to the next, at either of them: sessions that stand are passed, and
+//! what is heard of them where they no longer are.
+
+use super::{Node, named};
+use crate::api::*;
+use crate::broker::Input;
+use crate::operate::handover::{Message, Passed, note_number, numbered_note, status_word, worded_status};
+use crate::platform::links::{Command, Heard};
+use crate::roster::Names;
+
+impl Node {
+    /// This process asks another, or nobody, whether it may serve.
+    pub fn starts(&mut self) {
+        self.phase.start();
+    }
+
+    /// It serves from now on.
+    pub fn serves(&mut self) {
+        self.phase.serve();
+    }
+
+    /// It may take turns at cold servers that begin from now on.
+    pub fn takes_turns(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.tell(now, Input::Turns(now), out);
+    }
+
+    /// Another process serves from now on: no turn at cold servers is taken any more, what stands is passed, and
+    /// clients' connections are let go.
+    pub fn yields(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.phase.yields();
+        self.let_go_at = now;
+        self.tell(now, Input::Turns(Micros::MAX), out);
+        let standing: Vec<SessionId> = self.broker.standing_ids();
+        for id in standing {
+            self.pass(now, id, out);
+        }
+    }
+
+    /// The other process is gone: this one serves again. Sessions that were passed play on and are named again by
+    /// their clients.
+    pub fn resumes(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.phase.resumes();
+        self.let_go_at = self.phase.lets_go_from().unwrap_or(Micros::MAX);
+        self.passed.clear();
+        self.tell(now, Input::Turns(now), out);
+    }
+
+    /// Passes a session that stands to the process that serves now.
+    pub(super) fn pass(&mut self, now: Micros, id: SessionId, out: &mut Vec<Command>) {
+        // Those of the HTTP front stay: their clients know an address of this process.
+        if self.owned_by_whip(id) {
+            return;
+        }
+        let Some((request, server, rung)) = self.broker.standing_as(id) else { return };
+        let class = named(&self.names.classes, request.class);
+        let tenant = named(&self.names.tenants, request.tenant);
+        let passed = Passed::new(&request, class, tenant, &server, rung);
+        self.messages.push(Message::Session(passed));
+        self.passed.insert(id, server);
+        self.forget(id);
+        self.tell(now, Input::Passed(id), out);
+    }
+
+    /// Takes a session that another process held.
+    pub fn takes(&mut self, now: Micros, passed: &Passed, out: &mut Vec<Command>) {
+        let class = Names::index(&self.names.classes, &passed.class);
+        let tenant = Names::index(&self.names.tenants, &passed.tenant).unwrap_or(0);
+        let (id, server) = (SessionId(passed.id), ServerId::new(&passed.server));
+        let Some(class) = class else {
+            // This process has no such class: its client hears that it is over, and comes again.
+            self.links.release(now, id, &server, out);
+            return self.carry_out(now, crate::broker::Effect::Ended(id, Status::Reset), out);
+        };
+        self.tell(now, Input::Open(passed.request(class, tenant), server.clone()), out);
+        if let Some(rung) = passed.rung {
+            self.tell(now, Input::Note { id, server: server.clone(), note: Note::Rung(Rung(rung)) }, out);
+        }
+        let before = out.len();
+        self.links.attend(now, &server, out);
+        self.dialled(now, &server, "notes", &out[before..]);
+    }
+
+    /// What the other process heard of a session that is here now.
+    pub fn hears_of(&mut self, now: Micros, message: &Message, out: &mut Vec<Command>) {
+        match message {
+            Message::Over { id, server, how } => {
+                let (server, status) = (ServerId::new(server), worded_status(how));
+                let load = Load::default();
+                self.tell(now, Input::Over { id: SessionId(*id), server, status, load }, out);
+            }
+            Message::Noted { id, server, note, figure } => {
+                if let Some(note) = numbered_note(*note, *figure) {
+                    let server = ServerId::new(server);
+                    self.tell(now, Input::Note { id: SessionId(*id), server, note }, out);
+                }
+            }
+            Message::Left { id } => self.ends(now, *id, out),
+            _ => {}
+        }
+    }
+
+    /// A client left a session, as the other process heard.
+    pub fn ends(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
+        let id = SessionId(id);
+        if self.broker.knows(id) {
+            self.forget(id);
+            self.tell(now, Input::Left(id), out);
+        }
+    }
+
+    /// Whether a client waits here for an answer, or has a connection that it may ask on.
+    pub fn waited_on(&self) -> bool {
+        self.broker.unanswered() > 0
+            || !self.viewers.is_empty()
+            || self.links.waiting()
+            || self.whip.as_ref().is_some_and(|whip| !whip.idle())
+    }
+
+    /// What the other process is to hear since the last call.
+    pub fn take_messages(&mut self) -> Vec<Message> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// A client left a session that is not here: perhaps it is at the other process.
+    pub(super) fn stray(&mut self, id: SessionId) {
+        self.messages.push(Message::Left { id: id.0 });
+    }
+
+    /// Whether what a server says concerns a session that was passed; it is passed too then.
+    pub(super) fn passes_on(&mut self, heard: &Heard) -> bool {
+        let id = match heard {
+            Heard::Release(id, ..) | Heard::Note(id, _) => *id,
+            Heard::Answer(..) => return false,
+        };
+        let Some(server) = self.passed.get(&id).map(|server| server.0.to_string()) else { return false };
+        match heard {
+            Heard::Release(id, cause, _) => {
+                self.passed.remove(id);
+                let how = status_word(crate::platform::links::status(*cause, true)).to_owned();
+                self.messages.push(Message::Over { id: id.0, server, how });
+            }
+            Heard::Note(id, note) => {
+                let (note, figure) = note_number(*note);
+                self.messages.push(Message::Noted { id: id.0, server, note, figure });
+            }
+            Heard::Answer(..) => {}
+        }
+        true
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! One broker without its sockets: carries what the fronts hear to the core and what the core decides to the
 //! fronts. Fed connections and bytes, gives [`Command`]s.
 
+mod handover;
 mod http;
 mod operate;
 mod ruled;
@@ -16,6 +17,7 @@
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
 use crate::operate::figures::{Figures, Outcome};
+use crate::operate::handover::Message;
 use crate::operate::phase::Phase;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::platform::viewer;
@@ -80,6 +82,9 @@
     phase: Phase,
     let_go_at: Micros,
     figures: Figures,
+    /// Sessions that were passed to another process, and their servers; and what it is to hear.
+    passed: BTreeMap<SessionId, ServerId>,
+    messages: Vec<Message>,
     log: Vec<String>,
     /// Requests refused and attempts sent since the start.
     refusals: u64,
@@ -118,6 +123,8 @@
             phase: Phase::default(),
             let_go_at: Micros::MAX,
             figures: Figures::default(),
+            passed: BTreeMap::new(),
+            messages: Vec::new(),
             log: Vec::new(),
             refusals: 0,
             attempts: 0,
@@ -488,6 +495,9 @@
                     Some(line) => {
                         self.figures.answered(id, Outcome::Fulfilled);
                         self.reply(now, home, &line, out);
+                        if self.phase.yielded() {
+                            self.pass(now, id, out);
+                        }
                     }
                     None => {
                         self.figures.answered(id, Outcome::Faulted);
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -127,6 +127,9 @@
     }
 
     pub(super) fn heard(&mut self, now: Micros, server: &ServerId, heard: Heard, out: &mut Vec<Command>) {
+        if self.passes_on(&heard) {
+            return;
+        }
         let server = server.clone();
         let input = match heard {
             Heard::Answer(id, answer) => Input::Stands { id, server, answer },
--- a/src/node/viewers.rs
+++ b/src/node/viewers.rs
@@ -59,13 +59,13 @@
             self.pay_owed(now, conn, out);
         }
         match said {
-            Said::Ping(id) => {
-                self.say(now, Some(conn), &viewer::pong(id, self.phase.unready().is_none()), out)
-            }
+            Said::Ping(id) => self.say(now, Some(conn), &viewer::pong(id, self.phase.passes()), out),
             Said::Release(id) => {
                 self.forget(id);
                 if self.broker.knows(id) {
                     self.tell(now, Input::Left(id), out);
+                } else {
+                    self.stray(id);
                 }
             }
             Said::SetUp(request, description) => {
--- /dev/null
+++ b/src/operate/handover/giver.rs
@@ -0,0 +1,153 @@
+//! The old process: when it yields, serves again, and leaves.
+
+use super::{Message, VERSION};
+
+/// A connection of a process that asks to take over, counted from the start of this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Suitor(pub u64);
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Yield: accept nothing, take no turn at cold servers, pass what stands; only then answer.
+    Yield,
+    /// Serve again as before: the new process is gone.
+    Resume,
+    /// Say something to a suitor.
+    Say(Suitor, Message),
+    /// A client left a session, as the new process heard.
+    Left(u64),
+    /// Nothing is held here any more, and the new process has taken in all: end.
+    Leave,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    /// It serves, and nobody has asked.
+    #[default]
+    Serving,
+    /// It gave way to this one.
+    Yielded(Suitor),
+    /// It has asked to leave.
+    Leaving(Suitor),
+    /// It may end.
+    Left,
+}
+
+/// The old process' side.
+#[derive(Debug, Default)]
+pub struct Giver {
+    state: State,
+}
+
+impl Giver {
+    /// Whom it gave way to.
+    pub fn heir(&self) -> Option<Suitor> {
+        match self.state {
+            State::Yielded(heir) | State::Leaving(heir) => Some(heir),
+            State::Serving | State::Left => None,
+        }
+    }
+
+    /// A process that asks has said something.
+    pub fn heard(&mut self, from: Suitor, message: &Message, out: &mut Vec<Act>) {
+        match (message, self.state) {
+            // A build that speaks another version is answered in the words that all have, so that it waits for
+            // this process' end rather than acting on half an understanding.
+            (Message::TakeOver { version }, State::Serving) if *version == VERSION => {
+                self.state = State::Yielded(from);
+                out.push(Act::Yield);
+                out.push(Act::Say(from, Message::Yielded));
+            }
+            (Message::TakeOver { .. }, _) if self.heir() != Some(from) => {
+                out.push(Act::Say(from, Message::Busy));
+            }
+            (Message::Left { id }, _) if self.heir() == Some(from) => out.push(Act::Left(*id)),
+            (Message::Leave, State::Leaving(heir)) if heir == from => {
+                self.state = State::Left;
+                out.push(Act::Leave);
+            }
+            _ => {}
+        }
+    }
+
+    /// Its connection has ended: if it was the heir, this process serves again. What was passed is not taken back:
+    /// those sessions play on, and their clients name them again.
+    pub fn ended(&mut self, who: Suitor, out: &mut Vec<Act>) {
+        if self.heir() == Some(who) {
+            self.state = State::Serving;
+            out.push(Act::Resume);
+        }
+    }
+
+    /// Whether anybody still waits here, or says so only here.
+    pub fn holds(&mut self, anything: bool, out: &mut Vec<Act>) {
+        match self.state {
+            State::Yielded(heir) if !anything => {
+                self.state = State::Leaving(heir);
+                out.push(Act::Say(heir, Message::Leaving));
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const A: Suitor = Suitor(1);
+    const B: Suitor = Suitor(2);
+    const ASK: Message = Message::TakeOver { version: VERSION };
+
+    fn heard(giver: &mut Giver, from: Suitor, message: Message) -> Vec<Act> {
+        let mut out = Vec::new();
+        giver.heard(from, &message, &mut out);
+        out
+    }
+
+    #[test]
+    fn it_yields_once_and_leaves_only_when_the_heir_has_taken_all_in() {
+        let mut giver = Giver::default();
+        assert_eq!(heard(&mut giver, A, ASK), [Act::Yield, Act::Say(A, Message::Yielded)]);
+        assert_eq!(heard(&mut giver, B, ASK), [Act::Say(B, Message::Busy)]);
+        assert_eq!(heard(&mut giver, A, Message::Leave), [], "it was not asked for");
+        let mut out = Vec::new();
+        giver.holds(true, &mut out);
+        assert_eq!(out, []);
+        giver.holds(false, &mut out);
+        giver.holds(false, &mut out);
+        assert_eq!(out, [Act::Say(A, Message::Leaving)]);
+        assert_eq!(heard(&mut giver, B, Message::Leave), []);
+        assert_eq!(heard(&mut giver, A, Message::Leave), [Act::Leave]);
+    }
+
+    /// Guards against a broker that nobody serves when the new process dies at any point before the old one left.
+    #[test]
+    fn it_serves_again_when_the_heir_dies_and_yields_to_the_next() {
+        for leaving in [false, true] {
+            let mut giver = Giver::default();
+            heard(&mut giver, A, ASK);
+            let mut out = Vec::new();
+            if leaving {
+                giver.holds(false, &mut out);
+                out.clear();
+            }
+            giver.ended(B, &mut out);
+            assert_eq!(out, [], "that was another");
+            giver.ended(A, &mut out);
+            assert_eq!(out, [Act::Resume]);
+            assert_eq!(heard(&mut giver, A, Message::Leave), []);
+            assert_eq!(heard(&mut giver, B, ASK), [Act::Yield, Act::Say(B, Message::Yielded)]);
+        }
+    }
+
+    #[test]
+    fn another_version_is_told_busy_and_changes_nothing() {
+        let mut giver = Giver::default();
+        let other = Message::TakeOver { version: VERSION + 1 };
+        assert_eq!(heard(&mut giver, A, other), [Act::Say(A, Message::Busy)]);
+        assert_eq!(giver.heir(), None);
+        assert_eq!(heard(&mut giver, A, Message::Left { id: 1 }), []);
+    }
+}
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod console;
 pub mod figures;
+pub mod handover;
 pub mod phase;
--- a/src/operate/phase.rs
+++ b/src/operate/phase.rs
@@ -8,6 +8,8 @@
 /// A connection that nothing is set up on is let go when it has been quiet for so long: clients ask again on open
 /// connections as a rule right behind an answer, and what crosses the end must be sent again.
 const QUIET: Micros = Micros(150_000);
+/// The same once another process serves: whoever comes again is served there at once, so that the sooner the better.
+const QUIET_YIELDED: Micros = Micros(20_000);
 /// A connection that never said anything has so long: its first request may be under way.
 const FIRST_WORD: Micros = Micros(1_000_000);
 
@@ -18,6 +20,10 @@
     Draining,
     /// It ends.
     Ending,
+    /// It starts, and another process still serves.
+    Starting,
+    /// Another process serves in its place.
+    Yielded,
 }
 
 impl Unready {
@@ -26,6 +32,8 @@
         match self {
             Unready::Draining => "draining",
             Unready::Ending => "ending",
+            Unready::Starting => "starting",
+            Unready::Yielded => "another process serves",
         }
     }
 }
@@ -36,6 +44,8 @@
 pub struct Phase {
     draining: Option<Micros>,
     ending: bool,
+    starting: bool,
+    yielded: bool,
 }
 
 impl Phase {
@@ -56,24 +66,60 @@
         self.ending = true;
     }
 
+    /// It asks the process before it whether it may serve.
+    pub fn start(&mut self) {
+        self.starting = true;
+    }
+
+    /// It may.
+    pub fn serve(&mut self) {
+        self.starting = false;
+    }
+
+    /// Another process serves in its place from now on.
+    pub fn yields(&mut self) {
+        self.yielded = true;
+    }
+
+    /// That process is gone.
+    pub fn resumes(&mut self) {
+        self.yielded = false;
+    }
+
+    /// Whether sessions are passed to another process.
+    pub fn yielded(&self) -> bool {
+        self.yielded
+    }
+
+    /// Whether tests of the broker pass here. Where another process serves in its place the broker as a whole goes on.
+    pub fn passes(&self) -> bool {
+        self.draining.is_none() && (!self.ending || self.yielded)
+    }
+
     /// Why it is not ready to serve, if it is not.
     pub fn unready(&self) -> Option<Unready> {
-        match (self.ending, self.draining) {
-            (true, _) => Some(Unready::Ending),
-            (false, Some(_)) => Some(Unready::Draining),
-            (false, None) => None,
-        }
+        let reasons = [
+            (self.ending, Unready::Ending),
+            (self.yielded, Unready::Yielded),
+            (self.draining.is_some(), Unready::Draining),
+            (self.starting, Unready::Starting),
+        ];
+        reasons.into_iter().find_map(|(holds, why)| holds.then_some(why))
     }
 
     /// From when on clients' connections are let go, if they are.
     pub fn lets_go_from(&self) -> Option<Micros> {
-        self.draining.map(|at| at + STILL_SENT)
+        if self.yielded { Some(Micros(0)) } else { self.draining.map(|at| at + STILL_SENT) }
     }
 
     /// Whether a connection that nothing is set up on is let go: one that was last used then (accepted, asked, or
     /// answered), and whether it ever said anything.
     pub fn lets_go(&self, now: Micros, used: Micros, spoke: bool) -> bool {
-        let quiet = if spoke { QUIET } else { FIRST_WORD };
+        let quiet = match (spoke, self.yielded) {
+            (false, _) => FIRST_WORD,
+            (true, true) => QUIET_YIELDED,
+            (true, false) => QUIET,
+        };
         self.lets_go_from().is_some_and(|from| now >= from) && now - used >= quiet
     }
 }
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -424,6 +424,11 @@
         self.links.values().any(|l| l.queue.iter().any(|queued| queued.set_up == Some(id)))
     }
 
+    /// Whether anything waits for a connection, or for its time.
+    pub fn waiting(&self) -> bool {
+        self.links.values().any(|l| !l.queue.is_empty())
+    }
+
     /// Ends a session, or an attempt that was given up.
     pub fn release(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
         if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -184,6 +184,11 @@
         self.stopping = !kept;
     }
 
+    /// Whether nobody is connected and no session is held.
+    pub fn idle(&self) -> bool {
+        self.conns.is_empty() && self.sessions.is_empty()
+    }
+
     /// Whether a session is one of this front's.
     pub fn owns(&self, id: SessionId) -> bool {
         self.sessions.contains_key(&id)
