Keep the old process for servers that drain; count silence at the new one from the take-over

Checked in the logs: three of four ends said stopped without a reason, as a giver that had left no longer counted as having given way (net/handover.rs, yielded); the new process took draining servers that turn connections down for lost, as it had never heard of them (platform/links.rs, closed: unheard is the longest span). Ruled out: sessions cut by the old process' end (none stood there).

Change: a giver that left has given way; silence counts from the take-over; the old one stays while a draining server that it reaches still plays what was passed.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -79,7 +79,7 @@
 impl Handover {
     /// Whether another process serves in this one's place.
     pub(super) fn yielded(&self) -> bool {
-        self.giver.borrow().heir().is_some()
+        self.giver.borrow().gave_way()
     }
 
     /// What the node has for the other process.
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -149,7 +149,13 @@
         }
         let asked = shared.now();
         leave.ring();
-        Timer::after(micros(STILL_COMING)).await;
+        let still_coming = async {
+            Timer::after(micros(STILL_COMING)).await;
+            false
+        };
+        if future::or(still_coming, left(handover.as_ref())).await {
+            return info!(event = "stopped", reason = "another process serves");
+        }
         drop(fronts);
         // What was taken is answered; sessions that play end with this broker, so it stays up for them.
         let answers_by = asked + STILL_COMING + longest_deadline(&config.settings);
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -76,7 +76,8 @@
             self.tell(now, Input::Note { id, server: server.clone(), note: Note::Rung(Rung(rung)) }, out);
         }
         let before = out.len();
-        self.links.attend(now, &server, out);
+        // A server that drains may turn new connections down though its sessions play.
+        self.links.attend_passed(now, &server, out);
         self.dialled(now, &server, "notes", &out[before..]);
     }
 
@@ -108,14 +109,20 @@
         }
     }
 
-    /// Whether a client waits here for an answer, or has a connection that it may ask on.
+    /// Whether a client waits here for an answer, or has a connection that it may ask on; or a server that drains
+    /// can tell of what it still plays nowhere else, as it turns new connections down.
     pub fn waited_on(&self) -> bool {
         self.broker.unanswered() > 0
             || !self.viewers.is_empty()
             || self.links.waiting()
+            || self.passed.values().any(|server| self.drains(server) && self.links.reaches(server))
             || self.whip.as_ref().is_some_and(|whip| !whip.idle())
     }
 
+    fn drains(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|(state, _)| *state == ServerState::Draining)
+    }
+
     /// What the other process is to hear since the last call.
     pub fn take_messages(&mut self) -> Vec<Message> {
         std::mem::take(&mut self.messages)
--- a/src/operate/handover/giver.rs
+++ b/src/operate/handover/giver.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether another process serves in this one's place.
+    pub fn gave_way(&self) -> bool {
+        self.state != State::Serving
+    }
+
     /// A process that asks has said something.
     pub fn heard(&mut self, from: Suitor, message: &Message, out: &mut Vec<Act>) {
         match (message, self.state) {
@@ -119,7 +124,12 @@
         giver.holds(false, &mut out);
         assert_eq!(out, [Act::Say(A, Message::Leaving)]);
         assert_eq!(heard(&mut giver, B, Message::Leave), []);
+        assert!(giver.gave_way());
         assert_eq!(heard(&mut giver, A, Message::Leave), [Act::Leave]);
+        // It ends now, and neither serves again nor cuts what was passed.
+        let mut out = Vec::new();
+        giver.ended(A, &mut out);
+        assert!(out.is_empty() && giver.gave_way());
     }
 
     /// Guards against a broker that nobody serves when the new process dies at any point before the old one left.
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -327,6 +327,19 @@
         }
     }
 
+    /// The same for a server with sessions that another process held: how long it was not heard of counts from now.
+    pub fn attend_passed(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
+        if self.addresses.contains_key(server) {
+            self.alive.entry(server.clone()).or_insert(now);
+        }
+        self.attend(now, server, out);
+    }
+
+    /// Whether a connection to a server is up.
+    pub fn reaches(&self, server: &ServerId) -> bool {
+        self.links.values().any(|l| l.server == *server && l.up())
+    }
+
     /// Opens one more connection, whose end tells whether the server is lost; false if it has no address left.
     pub fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) -> bool {
         let dialling = self.links.values().any(|l| l.server == *server && !l.open);
