Take new settings in at SIGHUP under requests that keep theirs; turn broken files down whole

Change: classes and tenants live in a table whose entries stay while anything refers to them (operate::settings), a file that lacks a key of the one in force or has a deadline or attempts that are not positive is none, and both are counted. The module hears of new settings as one event.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -103,6 +103,8 @@
         /// What it tells.
         note: Note,
     },
+    /// New settings: each class keeps its number while a session refers to it.
+    Settings(Box<Settings>),
     /// A session that stands is held by another process from now on.
     Passed(SessionId),
     /// Turns at cold servers are this front's if they begin then or later; [`Micros::MAX`]: none.
@@ -214,6 +216,7 @@
     /// What a module that takes the place of another is told again.
     fronts: Option<(u32, u32)>,
     turns: Option<Micros>,
+    settings: Option<Box<Settings>>,
 }
 
 impl Broker {
@@ -241,6 +244,7 @@
             full_wait: Micros(0),
             fronts: None,
             turns: None,
+            settings: None,
         }
     }
 
@@ -312,6 +316,16 @@
         self.guard.list().iter().filter(|entry| avoided(entry)).count()
     }
 
+    /// Whether any session is of a class.
+    pub fn uses_class(&self, class: usize) -> bool {
+        self.sessions.values().any(|s| s.request.class == class)
+    }
+
+    /// Whether any session is of a tenant.
+    pub fn uses_tenant(&self, tenant: usize) -> bool {
+        self.sessions.values().any(|s| s.request.tenant == tenant)
+    }
+
     /// The sessions that stand.
     pub fn standing_ids(&self) -> Vec<SessionId> {
         self.sessions.keys().copied().filter(|id| self.server_of(*id).is_some()).collect()
@@ -378,6 +392,13 @@
                     self.cancelled(id, attempt, server);
                 }
             }
+            Input::Settings(settings) => {
+                self.classes = settings.classes.iter().map(|c| c.effect).collect();
+                (self.cap, self.full_wait) = (settings.max_attempts, settings.max_retry_after);
+                self.pending.push_back(Event::Settings(settings.clone()));
+                self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
+                self.settings = Some(settings);
+            }
             Input::Turns(from) => {
                 self.turns = Some(from);
                 self.pending.push_back(Event::Turns(from));
@@ -416,6 +437,7 @@
         self.seed = self.seed.wrapping_add(1);
         self.module = (self.make)(self.seed);
         self.pending.clear();
+        self.pending.extend(self.settings.clone().map(Event::Settings));
         self.pending.extend(self.turns.map(Event::Turns));
         self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
         self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Module(_)));
--- a/src/config.rs
+++ b/src/config.rs
@@ -53,6 +53,8 @@
     pub console: Option<SocketAddr>,
     /// The notice board, if there is one.
     pub board: Option<SocketAddr>,
+    /// The platform's file as it was read, but for the notice board's list; nothing for an operator's file.
+    pub raw: Value,
     /// The notice board's list at the start.
     pub known: Value,
     /// A fixed list of servers.
@@ -116,8 +118,8 @@
 
 /// A title as the WHIP front takes it.
 pub fn title(record: &TitleRecord, names: &Names) -> (String, Title) {
-    let tenant = record.tenant.as_ref().and_then(|t| Names::index(&names.tenants, t)).unwrap_or(0);
-    let class = Names::index(&names.classes, &record.class).unwrap_or(0);
+    let tenant = record.tenant.as_ref().and_then(|t| names.tenant(t)).unwrap_or(0);
+    let class = names.class(&record.class).unwrap_or(0);
     (record.name.clone(), Title { home: record.home, copies: record.copies, class, tenant })
 }
 
@@ -248,7 +250,6 @@
         [
             ("name", self.name != new.name),
             ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
-            ("settings", self.settings != new.settings || self.names != new.names),
             ("listen", self.listen != new.listen),
             ("console", self.console != new.console),
             ("whip.listen", listen(self) != listen(new)),
@@ -345,6 +346,8 @@
         if config.listen.is_none() {
             return wrong("listen", "required");
         }
+        value["known"] = Value::Null;
+        config.raw = value;
         Ok(config)
     }
 
@@ -380,13 +383,23 @@
         let Some(memory_mb) = memory_mb else {
             return wrong("limits.memory_mb", "not a number of 16 or more");
         };
+        let names = names(settings.value);
+        for (i, name) in names.classes.iter().enumerate() {
+            let field = format!("settings.RequestClasses[{i}].Name");
+            if name.is_empty() {
+                return wrong(&field, "required");
+            }
+            if names.classes[..i].contains(name) {
+                return wrong(&field, format!("{name} comes twice"));
+            }
+        }
         Ok(Config {
             name: root.text("name")?.unwrap_or("amberspindle").to_owned(),
             seed,
             sockets: sockets as usize,
             memory: (memory_mb * 1024.0 * 1024.0) as usize,
-            bounds: Bounds { names: names(settings.value), cells: parsed.cells },
-            names: names(settings.value),
+            bounds: Bounds { names: names.clone(), cells: parsed.cells },
+            names,
             connect_timeout: limit("ConnectTimeout", 250.0),
             idle: limit("Keepalive", 0.0),
             settings: parsed,
@@ -394,6 +407,7 @@
             inherited: None,
             console: root.address("console")?,
             board: root.address("board")?,
+            raw: Value::Null,
             known: root.get("known").map_or(Value::Null, |k| k.value.clone()),
             servers: Vec::new(),
             watch: None,
@@ -416,5 +430,6 @@
         tenants: list("Tenants"),
         zones: list("Azs"),
         kinds: list("Kinds"),
+        ..Names::default()
     }
 }
--- a/src/module/api.rs
+++ b/src/module/api.rs
@@ -535,6 +535,9 @@
         /// Its number, from 0.
         place: u32,
     },
+    /// New settings. Classes and tenants keep their numbers while any session refers to them; cells, racks and the
+    /// ladder stay as they are.
+    Settings(Box<Settings>),
     /// Cold turns are this front's if they begin then or later; [`Micros::MAX`]: none.
     Turns(Micros),
     /// A probe ended.
--- a/src/module/brain.rs
+++ b/src/module/brain.rs
@@ -138,6 +138,10 @@
             Event::Gone(id) => self.gone(id),
             Event::Timer(_) => self.look(out),
             Event::Fronts { count, place } => (self.set.fronts, self.set.me) = (count.max(1), place),
+            Event::Settings(set) => {
+                self.book.tenants.resize(set.tenants.len(), (0.0, Micros(0)));
+                self.set = *set;
+            }
             Event::Turns(from) => self.book.turns_from = from,
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -125,7 +125,7 @@
 
 pub(super) async fn dial(shared: Handle, conn: ConnId, address: SocketAddr, outbox: Rc<Outbox>) {
     let peer = format!("edge:{address}");
-    match within(shared.connect_timeout, Async::<TcpStream>::connect(address)).await {
+    match within(shared.connect_timeout.get(), Async::<TcpStream>::connect(address)).await {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
             step(&shared, |node, now, out| node.opened(now, conn, out));
--- a/src/net/files.rs
+++ b/src/net/files.rs
@@ -175,7 +175,7 @@
     fn adopt(&mut self, shared: &Handle, lists: Lists) {
         let old = self.lists.as_ref().and_then(|l| l.titles.as_ref());
         if let Some(titles) = lists.titles.as_ref().filter(|new| old != Some(new)) {
-            let named = titles.iter().map(|t| config::title(t, &self.bounds.names)).collect();
+            let named = titles.iter().map(|t| config::title(t, shared.node.borrow().names())).collect();
             shared.node.borrow_mut().retitle(named);
             info!(event = "titles.taken", titles = titles.len(), digest = lists.digest.short().as_str());
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -55,7 +55,7 @@
     board_moved: Bell,
     accepted: Cell<usize>,
     room: Bell,
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
     /// The processes before and after this one, where the platform lets versions follow each other under load.
     handover: RefCell<Option<Rc<handover::Handover>>>,
 }
@@ -85,7 +85,7 @@
             board_moved: Bell::default(),
             accepted: Cell::new(0),
             room: Bell::default(),
-            connect_timeout: micros(config.connect_timeout),
+            connect_timeout: Cell::new(micros(config.connect_timeout)),
             handover: RefCell::default(),
         })
     }
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -8,10 +8,11 @@
 use tracing::{info, warn};
 
 use super::outbox::Bell;
-use super::{Handle, files, quorum};
+use super::{Handle, files, micros, quorum, step};
 use crate::api::ListKind;
 use crate::board::Board;
 use crate::config::Config;
+use crate::operate::settings::missing;
 use crate::records::Findings;
 use crate::roster::{Listed, News, Source};
 
@@ -29,7 +30,13 @@
             return warn!(event = "reload refused", problem = %problem);
         }
     };
-    let fixed = old.fixed(&new);
+    // A file that is not whole is none: nothing of it is taken.
+    if let Some(field) = missing(&old.raw, &new.raw).filter(|_| !old.raw.is_null()) {
+        shared.node.borrow_mut().reread(false);
+        return warn!(event = "reload refused", problem = %format_args!("{field}: missing, though the file in force has it"));
+    }
+    let mut fixed = old.fixed(&new);
+    fixed.extend(step(shared, |node, now, out| node.reload(now, &new, out)));
     for field in &fixed {
         warn!(event = "reload", field, "reload {field}: changed, waits for the next start");
     }
@@ -39,10 +46,7 @@
         // A list without a board has no numbers: it is taken as a whole.
         Board::new(old.names.clone(), &new.known).1
     };
-    // Titles name classes of the settings that they came with.
-    if !fixed.contains(&"settings") {
-        shared.node.borrow_mut().reload(&new);
-    }
+    shared.connect_timeout.set(micros(new.connect_timeout));
     for news in news {
         files::hear(shared, Source::Board, news);
     }
@@ -52,7 +56,7 @@
     if shared.board_at.replace(new.board) != new.board {
         shared.board_moved.ring();
     }
-    (old.board, old.known, old.servers) = (new.board, new.known, new.servers);
+    (old.board, old.known, old.servers, old.raw) = (new.board, new.known, new.servers, new.raw);
     shared.node.borrow_mut().reread(true);
     info!(event = "reloaded", last = shared.board.borrow().last());
 }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -6,7 +6,6 @@
 use crate::broker::Input;
 use crate::operate::handover::{Message, Passed, note_number, numbered_note, status_word, worded_status};
 use crate::platform::links::{Command, Heard};
-use crate::roster::Names;
 
 impl Node {
     /// This process asks another, or nobody, whether it may serve.
@@ -63,8 +62,8 @@
 
     /// Takes a session that another process held.
     pub fn takes(&mut self, now: Micros, passed: &Passed, out: &mut Vec<Command>) {
-        let class = Names::index(&self.names.classes, &passed.class);
-        let tenant = Names::index(&self.names.tenants, &passed.tenant).unwrap_or(0);
+        let class = self.names.class(&passed.class);
+        let tenant = self.names.tenant(&passed.tenant).unwrap_or(0);
         let (id, server) = (SessionId(passed.id), ServerId::new(&passed.server));
         let Some(class) = class else {
             // This process has no such class: its client hears that it is over, and comes again.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod operate;
 mod ruled;
 mod servers;
+mod settings;
 mod viewers;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -24,7 +25,6 @@
 use crate::quorum::frame::Counts;
 use crate::roster::Names;
 use crate::trace::{Event as Traced, Tracer};
-use crate::watch::judge::Role;
 use crate::whip::{self, Title};
 use viewers::ViewerConn;
 
@@ -38,6 +38,8 @@
 const OWED_MOST: usize = 4096;
 /// Keeps the ids of the second front apart from the module's random numbers.
 const WHIP_SEED: u64 = 0x5748_4950;
+/// Requests that name a class that went may be on their way for so long.
+const RENAMED: Micros = Micros(2_000_000);
 /// Time between looks at connections.
 const LOOK_EVERY: Micros = Micros(250_000);
 
@@ -85,6 +87,8 @@
     /// Sessions that were passed to another process, and their servers; and what it is to hear.
     passed: BTreeMap<SessionId, ServerId>,
     messages: Vec<Message>,
+    /// When new settings were taken in last.
+    renamed_at: Micros,
     log: Vec<String>,
     /// Requests refused and attempts sent since the start.
     refusals: u64,
@@ -125,6 +129,7 @@
             figures: Figures::default(),
             passed: BTreeMap::new(),
             messages: Vec::new(),
+            renamed_at: Micros(0),
             log: Vec::new(),
             refusals: 0,
             attempts: 0,
@@ -154,22 +159,6 @@
         Counts { sessions, refusals: self.refusals, attempts: self.attempts }
     }
 
-    /// Takes in what a new configuration says of the front and the script; what waits or plays is untouched.
-    /// Titles and a script that are watched stay as their files have them.
-    pub fn reload(&mut self, config: &Config) {
-        let watch = config.watch.as_ref();
-        if watch.is_none_or(|w| w.script.is_none()) {
-            self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
-        }
-        if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
-            let mut setup = new.setup.clone();
-            if watch.is_some_and(|w| w.lists.iter().any(|f| f.role == Role::Titles)) {
-                setup.titles = whip.titles().clone();
-            }
-            whip.reload(setup);
-        }
-    }
-
     /// How many fronts share the fleet, and which of them this one is.
     pub fn fronts(&mut self, now: Micros, count: u32, place: u32, out: &mut Vec<Command>) {
         self.tell(now, Input::Fronts(count, place), out);
@@ -242,6 +231,7 @@
         self.tell(now, Input::Tick, out);
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
+            self.names.lately &= now < self.renamed_at + RENAMED;
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
             self.links.tick(now, out);
--- /dev/null
+++ b/src/node/settings.rs
@@ -0,0 +1,58 @@
+//! A new configuration under sessions that wait and play.
+
+use super::Node;
+use crate::api::Micros;
+use crate::broker::Input;
+use crate::config::Config;
+use crate::hook::Hook;
+use crate::operate::settings::{Merged, merge};
+use crate::platform::links::Command;
+use crate::roster::Names;
+use crate::watch::judge::Role;
+
+impl Node {
+    /// Takes a new configuration in: settings, the front and the script. What waits or plays goes on as it was taken.
+    /// Gives the fields that wait for the next start.
+    pub fn reload(&mut self, now: Micros, config: &Config, out: &mut Vec<Command>) -> Vec<&'static str> {
+        let titles = self.whip.iter().flat_map(|whip| whip.titles().values().map(|t| (t.class, t.tenant)));
+        let titles: Vec<(usize, usize)> = titles.collect();
+        let merged = merge(
+            (&self.settings, &self.names),
+            (&config.settings, &config.names),
+            |class| self.broker.uses_class(class) || titles.iter().any(|(c, _)| *c == class),
+            |tenant| self.broker.uses_tenant(tenant) || titles.iter().any(|(_, t)| *t == tenant),
+        );
+        self.refront(config, &merged);
+        let Merged { settings, names, waits, .. } = merged;
+        self.links.retime(config.idle, settings.tell, settings.see);
+        (self.names, self.settings, self.renamed_at) = (names, settings.clone(), now);
+        self.tell(now, Input::Settings(Box::new(settings)), out);
+        waits
+    }
+
+    /// How the settings in use name things.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Takes in what a new configuration says of the front and the script; what waits or plays is untouched.
+    /// Titles and a script that are watched stay as their files have them.
+    fn refront(&mut self, config: &Config, merged: &Merged) {
+        let watch = config.watch.as_ref();
+        if watch.is_none_or(|w| w.script.is_none()) {
+            self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
+        }
+        if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
+            let mut setup = new.setup.clone();
+            for title in setup.titles.values_mut() {
+                title.class = merged.classes.get(title.class).copied().unwrap_or(title.class);
+                title.tenant = merged.tenants.get(title.tenant).copied().unwrap_or(title.tenant);
+            }
+            if watch.is_some_and(|w| w.lists.iter().any(|f| f.role == Role::Titles)) {
+                setup.titles = whip.titles().clone();
+            }
+            whip.reclass(merged.settings.classes.clone());
+            whip.reload(setup);
+        }
+    }
+}
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -5,3 +5,4 @@
 pub mod figures;
 pub mod handover;
 pub mod phase;
+pub mod settings;
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -437,6 +437,12 @@
         self.links.values().any(|l| l.queue.iter().any(|queued| queued.set_up == Some(id)))
     }
 
+    /// Other times of servers from now on: when they close idle connections, and how often and late they tell.
+    pub fn retime(&mut self, idle: Micros, tell: Micros, see: Micros) {
+        let new = Links::new(idle, tell, see);
+        (self.idle, self.tell, self.quiet) = (new.idle, new.tell, new.quiet);
+    }
+
     /// Whether anything waits for a connection, or for its time.
     pub fn waiting(&self) -> bool {
         self.links.values().any(|l| !l.queue.is_empty())
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -51,7 +51,7 @@
             match line.kind {
                 Kind::SetUp => {
                     let id = line.id;
-                    let class = line.fields.get("class").and_then(|c| Names::index(&names.classes, c));
+                    let class = line.fields.get("class").and_then(|c| names.class(c));
                     return Ok(Some(set_up(line, now, names, settings).unwrap_or(Said::Unfit(id, class))));
                 }
                 Kind::Release => return Ok(Some(Said::Release(line.id))),
@@ -69,10 +69,10 @@
 fn set_up(line: Line, now: Micros, names: &Names, settings: &Settings) -> Option<Said> {
     let field = |name: &str| line.fields.get(name).map(String::as_str);
     let number = |text: &str| text.trim().parse::<f64>().ok().filter(|x| x.is_finite());
-    let class = field("class").and_then(|c| Names::index(&names.classes, c))?;
+    let class = field("class").and_then(|c| names.class(c))?;
     let tenant = match field("tenant") {
         None => 0,
-        Some(name) => Names::index(&names.tenants, name)?,
+        Some(name) => names.tenant(name)?,
     };
     let mut request = Request::new(line.id, Text::from(field("key").unwrap_or("")), now, 0, usize::MAX);
     (request.class, request.tenant) = (class, tenant);
@@ -101,7 +101,10 @@
     request.copies = copies?;
     // A viewer waits as long as its class does, give or take what the way cost.
     let left = Micros::from_ms(field("left").and_then(number)?);
-    let most = settings.classes.get(class)?.deadline;
+    // One that was sent before the class changed may wait for as long as it did then.
+    let alike =
+        names.classes.iter().zip(&settings.classes).filter(|(name, _)| **name == names.classes[class]);
+    let most = alike.map(|(_, class)| class.deadline).max()?;
     if left == Micros(0) || left > most + LEFT_SPARE {
         return None;
     }
--- a/src/roster/listed.rs
+++ b/src/roster/listed.rs
@@ -1,5 +1,6 @@
 //! What a list of servers is made of, whatever source tells it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::api::{ListKind, ServerEntry, Text};
@@ -15,6 +16,12 @@
     pub zones: Vec<String>,
     /// Kinds of servers.
     pub kinds: Vec<String>,
+    /// Numbers of classes that are kept for requests under way alone.
+    pub retired: BTreeSet<usize>,
+    /// The same of tenants.
+    pub retired_tenants: BTreeSet<usize>,
+    /// Classes went or changed just now: requests that name one that went may still be on their way.
+    pub lately: bool,
 }
 
 impl Names {
@@ -22,6 +29,22 @@
     pub fn index(list: &[String], name: &str) -> Option<usize> {
         list.iter().position(|n| n == name)
     }
+
+    /// The class that requests of this name get.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        Names::current(&self.classes, &self.retired, self.lately, name)
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        Names::current(&self.tenants, &self.retired_tenants, self.lately, name)
+    }
+
+    fn current(list: &[String], retired: &BTreeSet<usize>, lately: bool, name: &str) -> Option<usize> {
+        let named = || list.iter().enumerate().filter(|(_, n)| *n == name).map(|(i, _)| i);
+        let retired = |i: &usize| retired.contains(i);
+        named().find(|i| !retired(i)).or_else(|| named().next().filter(|_| lately))
+    }
 }
 
 /// A line of the list with its address.
--- a/src/watch/tests.rs
+++ b/src/watch/tests.rs
@@ -14,7 +14,13 @@
     let names = |of: &[&str]| of.iter().map(|s| (*s).to_owned()).collect();
     let (classes, tenants) = (names(&["paid", "clip"]), names(&["home"]));
     Bounds {
-        names: Names { classes, tenants, zones: names(&["east", "west"]), kinds: names(&["std", "big"]) },
+        names: Names {
+            classes,
+            tenants,
+            zones: names(&["east", "west"]),
+            kinds: names(&["std", "big"]),
+            ..Names::default()
+        },
         cells: 3,
     }
 }
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -184,6 +184,11 @@
         self.stopping = !kept;
     }
 
+    /// Other classes from now on; those that sessions refer to keep their numbers.
+    pub fn reclass(&mut self, classes: Vec<Class>) {
+        self.classes = classes;
+    }
+
     /// Whether nobody is connected and no session is held.
     pub fn idle(&self) -> bool {
         self.conns.is_empty() && self.sessions.is_empty()
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -564,6 +564,10 @@
                 return item.need("Effect")?.bad("not read_like, idempotency_key or non_idempotent");
             }
         };
+        let deadline = item.need("Deadline")?;
+        if deadline.number()? <= 0.0 {
+            return deadline.bad("not above zero");
+        }
         let mut class = Class::new(time("Slo")?, time("Deadline")?, effect);
         class.worth = item.number_or("Importance", 1.0)?;
         class.top = Rung(rungs - 1);
@@ -634,7 +638,11 @@
 
 fn limits(root: &Conf<'_>, s: &mut Settings) -> Result<(), String> {
     let limits = root.need("Limits")?;
-    s.max_attempts = limits.need("AttemptsCap")?.whole()?;
+    let cap = limits.need("AttemptsCap")?;
+    s.max_attempts = cap.whole()?;
+    if s.max_attempts == 0 {
+        return cap.bad("not above zero");
+    }
     s.idle = limits.time_or_zero("Keepalive")?;
     if limits.find("RetryAfter").and_then(|c| c.value.as_bool()) == Some(true) {
         s.max_retry_after = limits.time_or_zero("MaxRetryAfter")?;
