--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -684,7 +684,8 @@
             Fault::Reload => {
                 for broker in 0..self.slots.len() {
                     let config = self.plan.config(broker, self.slots[broker].start);
-                    self.slots[broker].node.reload(&config);
+                    let now = self.now;
+                    self.with(broker, |node, out| drop(node.reload(now, &config, out)));
                     self.whole_list(broker);
                 }
             }
