--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -684,7 +684,7 @@
             Fault::Reload => {
                 for broker in 0..self.slots.len() {
                     let config = self.plan.config(broker, self.slots[broker].start);
-                    let now = self.now;
+                    let now = self.queue.now();
                     self.with(broker, |node, out| drop(node.reload(now, &config, out)));
                     self.whole_list(broker);
                 }
