Divide the decision code by what each file decides; behaviour unchanged

Change: choice, cold, health, held, notes, refusals, retries, room, rungs and shares under src/module/brain, each listed under policy; what keeps books and hands events on is in mod.rs, which decides nothing. No line of a decision changed.

--- /dev/null
+++ b/src/module/brain/retries.rs
@@ -0,0 +1,91 @@
+//! Time-outs and further attempts.
+
+use super::*;
+
+/// Seconds that a set-up is taken to need before any was seen.
+pub(super) const USUAL_SETUP_S: f64 = 0.1;
+/// Weight of a new set-up in the usual time of one.
+pub(super) const SETUP_LEARNS: f64 = 0.1;
+/// A look that comes so much later than asked tells that this front itself stood still.
+pub(super) const STOOD_STILL: Micros = Micros(150_000);
+/// Time between looks at held sessions, time limits and raises.
+pub(super) const LOOK_EVERY: Micros = Micros(50_000);
+/// Part of what is left of the aim that one attempt may take.
+const TRY_PART: f64 = 0.5;
+/// An attempt gets at least this multiple of the usual set-up time.
+const TRY_TIMES: f64 = 3.0;
+
+impl Brain {
+    /// The budget of attempts beyond each session's first, counting the one in question.
+    pub(super) fn budget_allows(&self, id: SessionId) -> bool {
+        let Some(budget) = self.set.budget else { return true };
+        if self.book.sessions[&id].attempts == 0 {
+            return true;
+        }
+        let lately =
+            |times: &VecDeque<Micros>| times.iter().filter(|at| self.book.now - **at < budget.span).count();
+        (lately(&self.book.extra) + 1) as f64 <= budget.floor + budget.ratio * lately(&self.book.taken) as f64
+    }
+
+    /// An attempt of a repeatable class leaves room for another within the aim; others get all the time.
+    pub(super) fn timeout(&self, id: SessionId) -> Micros {
+        let s = &self.book.sessions[&id];
+        let class = &self.set.classes[s.req.class];
+        let most = s.req.due - self.book.now - self.margin();
+        let aim_left = s.arrived + class.aim - self.book.now;
+        let last = s.attempts + 1 >= self.set.max_attempts;
+        if class.effect == Effect::Unsafe || last || aim_left == Micros(0) {
+            return most;
+        }
+        Micros::from_secs((aim_left.secs() * TRY_PART).max(self.book.setup_s * TRY_TIMES)).min(most)
+    }
+
+    /// Answers are given so long before the viewer's time is up.
+    pub(super) fn margin(&self) -> Micros {
+        LOOK_EVERY + Micros(self.set.tick.0 * 2)
+    }
+
+    pub(super) fn outcome(
+        &mut self,
+        id: SessionId,
+        server: &ServerId,
+        end: (Status, bool, Load),
+        out: &mut Vec<Action>,
+    ) {
+        let (status, closed, load) = end;
+        let now = self.book.now;
+        if let Some(&i) = self.book.names.get(server) {
+            let playing = self.book.sessions.get(&id).is_some_and(|s| s.phase == Phase::Playing);
+            match status {
+                // This front stood still and hears late of all that came meanwhile: no server is to blame.
+                Status::TimedOut if self.book.stood == Some(now) => {}
+                Status::TimedOut if self.missed_one(i, id) => {}
+                Status::TimedOut => self.distrust(i, "no answer in time", out),
+                Status::ConnectFailed => self.distrust(i, "no connection", out),
+                Status::Reset => self.distrust(i, "connection broke", out),
+                Status::Saturated => self.packed(i),
+                Status::Completed if playing => self.answered(i, out),
+                Status::Completed | Status::Errored | Status::Cancelled | Status::Moot => {}
+            }
+            self.report(i, load);
+        }
+        self.release(id);
+        let Some(s) = self.book.sessions.get_mut(&id) else { return };
+        if closed || s.phase == Phase::Done || s.phase == Phase::Playing {
+            self.book.sessions.remove(&id);
+            return;
+        }
+        if !status.never_ran() {
+            s.ran = s.ran.or(Some((s.server, s.started)));
+        }
+        s.phase = Phase::Held;
+        let spent = s.attempts >= self.set.max_attempts || now + Micros(self.set.tick.0 * 2) >= s.req.due;
+        let stuck = s.ran.is_some() && self.set.classes[s.req.class].effect == Effect::Unsafe;
+        if spent || stuck || !self.budget_allows(id) {
+            self.answer(id, out);
+        } else {
+            self.book.held.insert(0, id);
+            self.serve_one(id, out);
+        }
+    }
+}
--- a/src/module/mod.rs
+++ b/src/module/mod.rs
@@ -1,4 +1,5 @@
-//! The decision module: plain events in, plain actions out. All policy is in [`brain`].
+//! The decision module: plain events in, plain actions out. [`brain`] has a file for
+//! each kind of decision.
 
 pub mod api;
 pub mod brain;
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -1,4 +1,4 @@
-//! What a front remembers. Bookkeeping only; every decision is in `module/brain.rs`.
+//! What a front remembers. Bookkeeping only; every decision is in the files of `module/brain`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
