--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -56,6 +56,8 @@
 /// This process between the one before it and the one after it.
 pub(super) struct Handover {
     path: PathBuf,
+    /// When this process started, by the machine's clock that is never set.
+    started: u64,
     giver: RefCell<Giver>,
     heir: RefCell<Option<Heir>>,
     /// The connection to the process before.
@@ -146,6 +148,7 @@
                     info!(event = "serves");
                 }
                 heir::Act::Meet => listen(shared, self),
+                heir::Act::Leave => self.left.ring(),
                 heir::Act::AskAgain => self.again.ring(),
                 heir::Act::TakeTurns => step(shared, |node, now, out| node.takes_turns(now, out)),
                 heir::Act::Take(passed) => step(shared, |node, now, out| node.takes(now, &passed, out)),
@@ -283,7 +286,7 @@
 /// Starts: asks the process before this one, if there is one.
 pub(super) async fn start(shared: Handle, handover: Rc<Handover>) {
     step(&shared, |node, _, _| node.starts());
-    let heir = Heir::new(shared.now());
+    let heir = Heir::new(shared.now(), handover.started);
     let until = heir.patience();
     *handover.heir.borrow_mut() = Some(heir);
     let patience = async {
@@ -332,9 +335,11 @@
 impl Handover {
     /// Between the processes that meet there.
     pub(super) fn new(path: PathBuf) -> Rc<Handover> {
+        let started = super::quorum::boot_now().0;
         Rc::new(Handover {
             path,
-            giver: RefCell::default(),
+            started,
+            giver: RefCell::new(Giver::new(started)),
             heir: RefCell::default(),
             old: RefCell::default(),
             suitors: RefCell::default(),
--- a/src/operate/handover/giver.rs
+++ b/src/operate/handover/giver.rs
@@ -42,9 +42,15 @@
 #[derive(Debug, Default)]
 pub struct Giver {
     state: State,
+    started: u64,
 }
 
 impl Giver {
+    /// Of a process that started then, by the machine's clock that is never set.
+    pub fn new(started: u64) -> Giver {
+        Giver { state: State::Serving, started }
+    }
+
     /// Whom it gave way to.
     pub fn heir(&self) -> Option<Suitor> {
         match self.state {
@@ -61,7 +67,11 @@
     /// A process that asks has said something.
     pub fn heard(&mut self, from: Suitor, message: &Message, out: &mut Vec<Act>) {
         match (message, self.state) {
-            (Message::TakeOver { version }, State::Serving) if *version == VERSION => {
+            // Versions that start within milliseconds may ask in any order: the last to start is to serve.
+            (Message::TakeOver { started, .. }, State::Serving) if *started <= self.started => {
+                out.push(Act::Say(from, Message::Newer));
+            }
+            (Message::TakeOver { version, .. }, State::Serving) if *version == VERSION => {
                 self.state = State::Yielded(from);
                 out.push(Act::Yield);
                 out.push(Act::Say(from, Message::Yielded));
@@ -120,7 +130,7 @@
 
     const A: Suitor = Suitor(1);
     const B: Suitor = Suitor(2);
-    const ASK: Message = Message::TakeOver { version: VERSION };
+    const ASK: Message = Message::TakeOver { version: VERSION, started: 9 };
 
     fn heard(giver: &mut Giver, from: Suitor, message: Message) -> Vec<Act> {
         let mut out = Vec::new();
@@ -170,6 +180,17 @@
         }
     }
 
+    /// Seen with three versions within milliseconds: the third took over before the second, which then took over from
+    /// it.
+    #[test]
+    fn it_yields_to_none_that_started_before_it() {
+        let mut giver = Giver::new(9);
+        assert_eq!(heard(&mut giver, A, ASK), [Act::Say(A, Message::Newer)]);
+        assert!(!giver.gave_way());
+        let later = Message::TakeOver { version: VERSION, started: 10 };
+        assert_eq!(heard(&mut giver, B, later), [Act::Yield, Act::Say(B, Message::Yielded)]);
+    }
+
     /// Seen with three versions within a second: the second left before the first, which then served again beside
     /// the third.
     #[test]
@@ -189,7 +210,7 @@
     #[test]
     fn another_version_is_told_so_and_changes_nothing() {
         let mut giver = Giver::default();
-        let other = Message::TakeOver { version: VERSION + 1 };
+        let other = Message::TakeOver { version: VERSION + 1, started: 9 };
         assert_eq!(heard(&mut giver, A, other), [Act::Say(A, Message::Other)]);
         assert_eq!(giver.heir(), None);
         assert_eq!(heard(&mut giver, A, Message::Left { id: 1 }), []);
--- a/src/operate/handover/heir.rs
+++ b/src/operate/handover/heir.rs
@@ -22,6 +22,8 @@
     Meet,
     /// Take turns at cold servers that begin from now on.
     TakeTurns,
+    /// A newer version serves already, and nothing was accepted here: end.
+    Leave,
     /// Leave this connection, and ask again at the meeting point: the old process gives way to another, which will be
     /// there.
     AskAgain,
@@ -38,6 +40,8 @@
 /// The new process' side.
 #[derive(Debug)]
 pub struct Heir {
+    /// When this process started, by the machine's clock that is never set.
+    started: u64,
     /// The old process is asked until then.
     until: Micros,
     serves: bool,
@@ -52,10 +56,10 @@
 }
 
 impl Heir {
-    /// One that has not asked yet.
-    pub fn new(now: Micros) -> Heir {
+    /// One that has not asked yet, of a process that started then.
+    pub fn new(now: Micros, started: u64) -> Heir {
         let (serves, meets, turns, linked, again) = (false, false, false, false, false);
-        Heir { until: now + PATIENCE, serves, meets, turns, linked, again, left: BTreeMap::new() }
+        Heir { started, until: now + PATIENCE, serves, meets, turns, linked, again, left: BTreeMap::new() }
     }
 
     /// When [`Heir::tick`] is wanted.
@@ -88,7 +92,7 @@
     /// A connection to a process at the meeting point stands.
     pub fn linked(&mut self, out: &mut Vec<Act>) {
         self.linked = true;
-        out.push(Act::Say(Message::TakeOver { version: VERSION }));
+        out.push(Act::Say(Message::TakeOver { version: VERSION, started: self.started }));
     }
 
     /// Nobody is at the meeting point.
@@ -105,7 +109,9 @@
                 (self.linked, self.again) = (false, true);
                 out.push(Act::AskAgain);
             }
+            Message::Newer if !self.serves => out.push(Act::Leave),
             // Its turns stay its own until it has ended.
+            Message::Newer => {}
             Message::Other => {
                 self.serve(out);
                 self.meet(out);
@@ -156,16 +162,16 @@
     use super::*;
 
     fn linked() -> (Heir, Vec<Act>) {
-        let (mut heir, mut out) = (Heir::new(Micros(1)), Vec::new());
+        let (mut heir, mut out) = (Heir::new(Micros(1), 7), Vec::new());
         heir.linked(&mut out);
-        assert_eq!(out, [Act::Say(Message::TakeOver { version: VERSION })]);
+        assert_eq!(out, [Act::Say(Message::TakeOver { version: VERSION, started: 7 })]);
         (heir, Vec::new())
     }
 
     #[test]
     fn alone_it_serves_at_once_and_else_when_the_old_one_has_yielded() {
         let mut out = Vec::new();
-        Heir::new(Micros(1)).alone(&mut out);
+        Heir::new(Micros(1), 7).alone(&mut out);
         assert_eq!(out, [Act::TakeTurns, Act::Meet, Act::Serve]);
         let (mut heir, mut out) = linked();
         heir.heard(Message::Yielded, &mut out);
@@ -210,6 +216,18 @@
         assert_eq!(out, [Act::AskAgain], "another may be there");
     }
 
+    #[test]
+    fn one_that_meets_a_newer_one_leaves_unless_it_has_taken_anything() {
+        let (mut heir, mut out) = linked();
+        heir.heard(Message::Newer, &mut out);
+        assert_eq!(out, [Act::Leave]);
+        let (mut heir, mut out) = linked();
+        heir.tick(Micros(1) + PATIENCE, &mut out);
+        out.clear();
+        heir.heard(Message::Newer, &mut out);
+        assert_eq!(out, []);
+    }
+
     #[test]
     fn a_session_that_was_left_before_it_was_passed_is_ended() {
         let (mut heir, mut out) = linked();
--- a/src/operate/handover/mod.rs
+++ b/src/operate/handover/mod.rs
@@ -81,6 +81,8 @@
     TakeOver {
         /// What it speaks.
         version: u32,
+        /// When it started, by the machine's clock that is never set.
+        started: u64,
     },
     /// The old one has yielded.
     Yielded,
@@ -88,6 +90,8 @@
     Busy,
     /// The old one speaks another version.
     Other,
+    /// The one that was asked started later than the one that asks.
+    Newer,
     /// The old one passes a session that stands.
     Session(Passed),
     /// The old one heard that a session is over that it had passed.
@@ -217,7 +221,7 @@
         let passed = Passed::new(&request, "paid", "home", &ServerId::new("s-0"), Some(Rung(1)));
         assert_eq!(passed.request(0, 0), request);
         vec![
-            Message::TakeOver { version: VERSION },
+            Message::TakeOver { version: VERSION, started: 1 },
             Message::Yielded,
             Message::Session(passed),
             Message::Over { id: 7, server: "s-0".into(), how: "completed".into() },
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -217,7 +217,7 @@
     let place = place.into_iter().find(|p| p.extension().is_some_and(|e| e == "sock")).unwrap();
     let mut stranger = std::os::unix::net::UnixStream::connect(&place).unwrap();
     stranger.write_all(b"{\"say\":\"leave\"}\n{\"say\":\"left\",\"id\":1}\nnonsense\n").unwrap();
-    stranger.write_all(b"{\"say\":\"take_over\",\"version\":1}\n").unwrap();
+    stranger.write_all(b"{\"say\":\"take_over\",\"version\":1,\"started\":18000000000000000000}\n").unwrap();
     drop(stranger);
     second.logged("peer=\"new process\"");
     assert_eq!(check(&second), "SUCCESS ready\n");
