--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -372,7 +372,7 @@
             None => {
                 let conn = self.slots[broker].node.number();
                 self.slots[broker].viewers = Some(conn);
-                self.with(broker, |node, out| node.accepted(now, conn, Front::Platform, out));
+                self.with(broker, |node, _| node.accepted(now, conn, Front::Platform));
                 conn
             }
         };
@@ -684,7 +684,8 @@
             Fault::Reload => {
                 for broker in 0..self.slots.len() {
                     let config = self.plan.config(broker, self.slots[broker].start);
-                    self.slots[broker].node.reload(&config);
+                    let now = self.queue.now();
+                    self.with(broker, |node, out| drop(node.reload(now, &config, out)));
                     self.whole_list(broker);
                 }
             }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -23,6 +23,11 @@
     fn remembered(&self) -> usize {
         0
     }
+
+    /// Whether a server is given nothing for now, for other reasons than the list's.
+    fn distrusts(&self, _now: Micros, _server: &ServerId) -> bool {
+        false
+    }
 }
 
 impl Decide for Brain {
@@ -33,6 +38,10 @@
     fn remembered(&self) -> usize {
         self.size()
     }
+
+    fn distrusts(&self, now: Micros, server: &ServerId) -> bool {
+        Brain::distrusts(self, now, server)
+    }
 }
 
 /// Makes a module from a seed: one at the start, and one more after each that panicked.
@@ -94,6 +103,12 @@
         /// What it tells.
         note: Note,
     },
+    /// New settings: each class keeps its number while a session refers to it.
+    Settings(Box<Settings>),
+    /// A session that stands is held by another process from now on.
+    Passed(SessionId),
+    /// Turns at cold servers are this front's if they begin then or later; [`Micros::MAX`]: none.
+    Turns(Micros),
     /// A server was lost with all that stood there.
     Lost(ServerId),
     /// The broker ends: what stands is released on both sides.
@@ -200,6 +215,8 @@
     full_wait: Micros,
     /// What a module that takes the place of another is told again.
     fronts: Option<(u32, u32)>,
+    turns: Option<Micros>,
+    settings: Option<Box<Settings>>,
 }
 
 impl Broker {
@@ -226,6 +243,8 @@
             room: usize::MAX,
             full_wait: Micros(0),
             fronts: None,
+            turns: None,
+            settings: None,
         }
     }
 
@@ -291,6 +310,33 @@
         self.guard.list()
     }
 
+    /// Listed servers that get nothing new now: they drain, or the module distrusts them.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let avoided = |e: &ServerEntry| e.state != ServerState::Ready || self.module.distrusts(now, &e.id);
+        self.guard.list().iter().filter(|entry| avoided(entry)).count()
+    }
+
+    /// Whether any session is of a class.
+    pub fn uses_class(&self, class: usize) -> bool {
+        self.sessions.values().any(|s| s.request.class == class)
+    }
+
+    /// Whether any session is of a tenant.
+    pub fn uses_tenant(&self, tenant: usize) -> bool {
+        self.sessions.values().any(|s| s.request.tenant == tenant)
+    }
+
+    /// The sessions that stand.
+    pub fn standing_ids(&self) -> Vec<SessionId> {
+        self.sessions.keys().copied().filter(|id| self.server_of(*id).is_some()).collect()
+    }
+
+    /// A session that stands: its request, where, and its rung if that is known.
+    pub fn standing_as(&self, id: SessionId) -> Option<(Request, ServerId, Option<Rung>)> {
+        let session = self.sessions.get(&id)?;
+        Some((session.request.clone(), self.server_of(id)?, session.rung))
+    }
+
     /// Whether any session stands at a server.
     pub fn stands_any(&self, at: &ServerId) -> bool {
         let there = |s: &Session| matches!(&s.stage, Stage::Standing { server, .. } if server == at);
@@ -338,6 +384,25 @@
                 self.fronts = Some((count, place));
                 self.pending.push_back(Event::Fronts { count, place });
             }
+            Input::Passed(id) => {
+                if let Some(Stage::Standing { server, attempt }) =
+                    self.sessions.get(&id).map(|s| s.stage.clone())
+                {
+                    self.remove(id);
+                    self.cancelled(id, attempt, server);
+                }
+            }
+            Input::Settings(settings) => {
+                self.classes = settings.classes.iter().map(|c| c.effect).collect();
+                (self.cap, self.full_wait) = (settings.max_attempts, settings.max_retry_after);
+                self.pending.push_back(Event::Settings(settings.clone()));
+                self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
+                self.settings = Some(settings);
+            }
+            Input::Turns(from) => {
+                self.turns = Some(from);
+                self.pending.push_back(Event::Turns(from));
+            }
             Input::Tick => {}
         }
         self.run(now, out);
@@ -372,6 +437,8 @@
         self.seed = self.seed.wrapping_add(1);
         self.module = (self.make)(self.seed);
         self.pending.clear();
+        self.pending.extend(self.settings.clone().map(Event::Settings));
+        self.pending.extend(self.turns.map(Event::Turns));
         self.pending.extend(self.fronts.map(|(count, place)| Event::Fronts { count, place }));
         self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Module(_)));
         let servers = self.guard.list();
--- a/src/config.rs
+++ b/src/config.rs
@@ -47,8 +47,14 @@
     pub idle: Micros,
     /// The platform's front, if it is on.
     pub listen: Option<SocketAddr>,
+    /// A listening socket that this process inherits in the place of `listen`.
+    pub inherited: Option<i32>,
+    /// The second address, where staff call, if there is one.
+    pub console: Option<SocketAddr>,
     /// The notice board, if there is one.
     pub board: Option<SocketAddr>,
+    /// The platform's file as it was read, but for the notice board's list; nothing for an operator's file.
+    pub raw: Value,
     /// The notice board's list at the start.
     pub known: Value,
     /// A fixed list of servers.
@@ -112,8 +118,8 @@
 
 /// A title as the WHIP front takes it.
 pub fn title(record: &TitleRecord, names: &Names) -> (String, Title) {
-    let tenant = record.tenant.as_ref().and_then(|t| Names::index(&names.tenants, t)).unwrap_or(0);
-    let class = Names::index(&names.classes, &record.class).unwrap_or(0);
+    let tenant = record.tenant.as_ref().and_then(|t| names.tenant(t)).unwrap_or(0);
+    let class = names.class(&record.class).unwrap_or(0);
     (record.name.clone(), Title { home: record.home, copies: record.copies, class, tenant })
 }
 
@@ -244,8 +250,8 @@
         [
             ("name", self.name != new.name),
             ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
-            ("settings", self.settings != new.settings || self.names != new.names),
             ("listen", self.listen != new.listen),
+            ("console", self.console != new.console),
             ("whip.listen", listen(self) != listen(new)),
             ("eureka", self.eureka != new.eureka),
             ("watch", self.watch != new.watch),
@@ -276,7 +282,7 @@
         };
         let limits = file.limits.clone().unwrap_or_default();
         let value = json!({
-            "name": file.name, "seed": file.seed, "settings": file.settings, "board": file.board.map(|a| a.0),
+            "name": file.name, "seed": file.seed, "settings": file.settings, "board": file.board.map(|a| a.0), "console": file.console.map(|a| a.0),
             "limits": {"sockets": limits.sockets, "memory_mb": limits.memory_mb},
         });
         let settings = Config::read(&value).map_err(placed);
@@ -315,7 +321,8 @@
         Ok(config)
     }
 
-    /// Reads the configuration of the platform; `LB_NAME` and `LB_LISTEN` repeat what the file says.
+    /// Reads the configuration of the platform; `LB_NAME`, `LB_LISTEN` and `LB_CONSOLE` go before what the file
+    /// says.
     pub fn platform(env: &BTreeMap<String, String>) -> Read<Config> {
         let Some(path) = env.get("LB_CONFIG") else { return wrong("LB_CONFIG", "not set") };
         let text =
@@ -325,15 +332,22 @@
         if !value.is_object() {
             return wrong("LB_CONFIG", "not an object");
         }
-        for (key, name) in [("name", "LB_NAME"), ("listen", "LB_LISTEN")] {
+        for (key, name) in [("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("console", "LB_CONSOLE")] {
             if let Some(set) = env.get(name) {
                 value[key] = json!(set);
             }
         }
-        let config = Config::read(&value)?;
+        let mut config = Config::read(&value)?;
+        if let Some(number) = env.get("LB_SOCKET_FD") {
+            let read = number.trim().parse().ok().filter(|n| *n >= 0);
+            config.inherited =
+                Some(read.map_or_else(|| wrong("LB_SOCKET_FD", "not a descriptor's number"), Ok)?);
+        }
         if config.listen.is_none() {
             return wrong("listen", "required");
         }
+        value["known"] = Value::Null;
+        config.raw = value;
         Ok(config)
     }
 
@@ -369,18 +383,31 @@
         let Some(memory_mb) = memory_mb else {
             return wrong("limits.memory_mb", "not a number of 16 or more");
         };
+        let names = names(settings.value);
+        for (i, name) in names.classes.iter().enumerate() {
+            let field = format!("settings.RequestClasses[{i}].Name");
+            if name.is_empty() {
+                return wrong(&field, "required");
+            }
+            if names.classes[..i].contains(name) {
+                return wrong(&field, format!("{name} comes twice"));
+            }
+        }
         Ok(Config {
             name: root.text("name")?.unwrap_or("amberspindle").to_owned(),
             seed,
             sockets: sockets as usize,
             memory: (memory_mb * 1024.0 * 1024.0) as usize,
-            bounds: Bounds { names: names(settings.value), cells: parsed.cells },
-            names: names(settings.value),
+            bounds: Bounds { names: names.clone(), cells: parsed.cells },
+            names,
             connect_timeout: limit("ConnectTimeout", 250.0),
             idle: limit("Keepalive", 0.0),
             settings: parsed,
             listen: root.address("listen")?,
+            inherited: None,
+            console: root.address("console")?,
             board: root.address("board")?,
+            raw: Value::Null,
             known: root.get("known").map_or(Value::Null, |k| k.value.clone()),
             servers: Vec::new(),
             watch: None,
@@ -403,5 +430,6 @@
         tenants: list("Tenants"),
         zones: list("Azs"),
         kinds: list("Kinds"),
+        ..Names::default()
     }
 }
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -1,4 +1,4 @@
-//! What a front remembers. Bookkeeping only; every decision is in `module/brain.rs`.
+//! What a front remembers. Bookkeeping only; every decision is in the files of `module/brain`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -64,6 +64,8 @@
     pub(crate) warm_from: Micros,
     pub(crate) failed_at: Micros,
     pub(crate) answered_at: Micros,
+    /// Part of its last answers that were errors.
+    pub(crate) errors: f64,
     /// When an answer of it went missing last.
     pub(crate) missed_at: Option<Micros>,
     /// When the list last told of it, for one that is gone.
@@ -141,6 +143,8 @@
     pub(crate) by_rack: Vec<Vec<usize>>,
     /// When the front began.
     pub(crate) born: Option<Micros>,
+    /// Cold turns that began before this are another process' of the same front.
+    pub(crate) turns_from: Micros,
     pub(crate) usual: f64,
     pub(crate) usual_at: Micros,
     pub(crate) racks: Vec<Gauge>,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,9 +1,12 @@
 //! One broker without its sockets: carries what the fronts hear to the core and what the core decides to the
 //! fronts. Fed connections and bytes, gives [`Command`]s.
 
+mod handover;
 mod http;
+mod operate;
 mod ruled;
 mod servers;
+mod settings;
 mod viewers;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -14,22 +17,29 @@
 use crate::edge::Pool;
 use crate::hook::{Hook, HookError, Verdict};
 use crate::message::line::Line;
+use crate::operate::figures::{Figures, Outcome};
+use crate::operate::handover::Message;
+use crate::operate::phase::Phase;
 use crate::platform::links::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::platform::viewer;
 use crate::quorum::frame::Counts;
 use crate::roster::Names;
 use crate::trace::{Event as Traced, Tracer};
-use crate::watch::judge::Role;
 use crate::whip::{self, Title};
 use viewers::ViewerConn;
 
 /// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
 /// once more, and the program and its buffers need the rest.
 const SESSIONS_PART: usize = 4;
-/// How long a release waits for a connection that it could go out on.
-const OWED_KEPT: Micros = Micros(8_000_000);
+/// How long a release waits for a connection that it could go out on: as long as a drain may take, in which clients
+/// have none here. Late is better than never, as its client goes by it that the session plays.
+const OWED_KEPT: Micros = Micros(60_000_000);
+/// No more of them wait.
+const OWED_MOST: usize = 4096;
 /// Keeps the ids of the second front apart from the module's random numbers.
 const WHIP_SEED: u64 = 0x5748_4950;
+/// Requests that name a class that went may be on their way for so long.
+const RENAMED: Micros = Micros(2_000_000);
 /// Time between looks at connections.
 const LOOK_EVERY: Micros = Micros(250_000);
 
@@ -70,7 +80,15 @@
     /// What the list says of the servers, and when they started last.
     servers: BTreeMap<ServerId, (ServerState, Option<Micros>)>,
     look_at: Micros,
-    stopping: bool,
+    /// Whether it serves, drains or ends, and when clients' connections are looked at for that.
+    phase: Phase,
+    let_go_at: Micros,
+    figures: Figures,
+    /// Sessions that were passed to another process, and their servers; and what it is to hear.
+    passed: BTreeMap<SessionId, ServerId>,
+    messages: Vec<Message>,
+    /// When new settings were taken in last.
+    renamed_at: Micros,
     log: Vec<String>,
     /// Requests refused and attempts sent since the start.
     refusals: u64,
@@ -106,7 +124,12 @@
             owed: VecDeque::new(),
             servers: BTreeMap::new(),
             look_at: Micros(0),
-            stopping: false,
+            phase: Phase::default(),
+            let_go_at: Micros::MAX,
+            figures: Figures::default(),
+            passed: BTreeMap::new(),
+            messages: Vec::new(),
+            renamed_at: Micros(0),
             log: Vec::new(),
             refusals: 0,
             attempts: 0,
@@ -136,22 +159,6 @@
         Counts { sessions, refusals: self.refusals, attempts: self.attempts }
     }
 
-    /// Takes in what a new configuration says of the front and the script; what waits or plays is untouched.
-    /// Titles and a script that are watched stay as their files have them.
-    pub fn reload(&mut self, config: &Config) {
-        let watch = config.watch.as_ref();
-        if watch.is_none_or(|w| w.script.is_none()) {
-            self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
-        }
-        if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
-            let mut setup = new.setup.clone();
-            if watch.is_some_and(|w| w.lists.iter().any(|f| f.role == Role::Titles)) {
-                setup.titles = whip.titles().clone();
-            }
-            whip.reload(setup);
-        }
-    }
-
     /// How many fronts share the fleet, and which of them this one is.
     pub fn fronts(&mut self, now: Micros, count: u32, place: u32, out: &mut Vec<Command>) {
         self.tell(now, Input::Fronts(count, place), out);
@@ -180,6 +187,7 @@
     /// Servers, sessions, attempts and clients' connections that anything is remembered of, at its fullest place.
     pub fn remembered(&self) -> usize {
         let own = [self.servers.len(), self.homes.len(), self.owed.len(), self.viewers.len()];
+        let own = own.into_iter().chain([self.figures.remembered()]);
         let told = self.tracer.as_ref().map_or(0, Tracer::remembered);
         let others = [
             self.links.remembered(),
@@ -188,14 +196,14 @@
             self.broker.remembered(),
             told,
         ];
-        own.into_iter().chain(others).max().unwrap_or(0)
+        own.chain(others).max().unwrap_or(0)
     }
 
     /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere.
     pub fn stop(&mut self) {
-        self.stopping = true;
+        self.phase.end();
         if let Some(whip) = &mut self.whip {
-            whip.stop();
+            whip.keep(false);
         }
     }
 
@@ -212,32 +220,29 @@
     /// When [`Node::tick`] is wanted next.
     pub fn next_alarm(&self) -> Micros {
         let alarms = [self.broker.next_alarm(), self.links.next_due(), self.pool.next_due()];
-        alarms.into_iter().flatten().fold(self.look_at, Micros::min)
+        alarms.into_iter().flatten().fold(self.look_at.min(self.let_go_at), Micros::min)
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.links.write_due(now, out);
         self.pool.tick(now, out);
+        self.let_go(now, out);
         self.tell(now, Input::Tick, out);
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
+            self.names.lately &= now < self.renamed_at + RENAMED;
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
             self.links.tick(now, out);
-            let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
-            for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
-                if let Some(reason) = c.overdue(now) {
-                    c.closing = true;
-                    out.push(Command::Close(*conn, reason));
-                }
-            }
+            self.close_overdue(now, out);
             self.whip(now, out, |whip, sure, wishes| whip.tick(now, sure, wishes));
         }
     }
 
     /// A request goes to the core, unless the operator's script refuses it.
     fn ask(&mut self, now: Micros, mut request: Request, offer: Description, out: &mut Vec<Command>) {
+        self.figures.asked(request.id, named(&self.names.classes, request.class));
         if let Some(tracer) = &mut self.tracer {
             let most = self.settings.classes.get(request.class).map_or(Rung(0), |class| class.top);
             let class = (named(&self.names.classes, request.class), most);
@@ -293,7 +298,7 @@
     }
 
     /// A client's connection was accepted.
-    pub fn accepted(&mut self, now: Micros, conn: ConnId, front: Front, out: &mut Vec<Command>) {
+    pub fn accepted(&mut self, now: Micros, conn: ConnId, front: Front) {
         if front == Front::Whip {
             if let Some(whip) = &mut self.whip {
                 whip.accepted(now, conn);
@@ -301,12 +306,6 @@
             return;
         }
         self.viewers.insert(conn, ViewerConn { used: now, ..ViewerConn::default() });
-        // What waited for a connection goes out on it.
-        for (until, line) in std::mem::take(&mut self.owed) {
-            if until > now {
-                self.say(now, Some(conn), &line, out);
-            }
-        }
     }
 
     /// A connection to a server has come up.
@@ -416,6 +415,9 @@
     }
 
     fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        if let Input::Left(id) = &input {
+            self.figures.left(*id);
+        }
         if let Some(tracer) = &mut self.tracer {
             tracer.told(now, &input);
         }
@@ -432,12 +434,17 @@
             tracer.decided(now, &effect);
         }
         match &effect {
-            Effect::Refused(..) => self.refusals += 1,
+            Effect::Refused(id, _) => {
+                self.refusals += 1;
+                self.figures.answered(*id, Outcome::Throttled);
+            }
+            Effect::Failed(id, _) => self.figures.answered(*id, Outcome::Faulted),
             Effect::SetUp(_) => self.attempts += 1,
             _ => {}
         }
         match effect {
             Effect::Plays(id, answer) if self.owned_by_whip(id) => {
+                self.figures.answered(id, Outcome::Fulfilled);
                 let ice = self.pool.ice(id).to_vec();
                 self.whip(now, out, |whip, _, wishes| whip.plays(now, id, answer, ice, wishes));
                 self.whip(now, out, |whip, sure, wishes| whip.read_on(now, sure, wishes));
@@ -475,8 +482,15 @@
                 let home = self.answered(now, id);
                 let line = std::str::from_utf8(&description).ok().map(|text| viewer::answer(id, text));
                 match line.filter(|line| line.encode().is_ok()) {
-                    Some(line) => self.reply(now, home, &line, out),
+                    Some(line) => {
+                        self.figures.answered(id, Outcome::Fulfilled);
+                        self.reply(now, home, &line, out);
+                        if self.phase.yielded() {
+                            self.pass(now, id, out);
+                        }
+                    }
                     None => {
+                        self.figures.answered(id, Outcome::Faulted);
                         // What can't be passed on unchanged is not passed on.
                         self.reply(now, home, &viewer::failed(id), out);
                         self.forget(id);
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -327,6 +327,19 @@
         }
     }
 
+    /// The same for a server with sessions that another process held: how long it was not heard of counts from now.
+    pub fn attend_passed(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) {
+        if self.addresses.contains_key(server) {
+            self.alive.entry(server.clone()).or_insert(now);
+        }
+        self.attend(now, server, out);
+    }
+
+    /// Whether a connection to a server is up.
+    pub fn reaches(&self, server: &ServerId) -> bool {
+        self.links.values().any(|l| l.server == *server && l.up())
+    }
+
     /// Opens one more connection, whose end tells whether the server is lost; false if it has no address left.
     pub fn check(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Command>) -> bool {
         let dialling = self.links.values().any(|l| l.server == *server && !l.open);
@@ -424,6 +437,17 @@
         self.links.values().any(|l| l.queue.iter().any(|queued| queued.set_up == Some(id)))
     }
 
+    /// Other times of servers from now on: when they close idle connections, and how often and late they tell.
+    pub fn retime(&mut self, idle: Micros, tell: Micros, see: Micros) {
+        let new = Links::new(idle, tell, see);
+        (self.idle, self.tell, self.quiet) = (new.idle, new.tell, new.quiet);
+    }
+
+    /// Whether anything waits for a connection, or for its time.
+    pub fn waiting(&self) -> bool {
+        self.links.values().any(|l| !l.queue.is_empty())
+    }
+
     /// Ends a session, or an attempt that was given up.
     pub fn release(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
         if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -179,9 +179,19 @@
         self.setup.titles = titles;
     }
 
-    /// From now on each connection ends with its next response.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Whether connections are kept; else each ends with its next response.
+    pub fn keep(&mut self, kept: bool) {
+        self.stopping = !kept;
+    }
+
+    /// Other classes from now on; those that sessions refer to keep their numbers.
+    pub fn reclass(&mut self, classes: Vec<Class>) {
+        self.classes = classes;
+    }
+
+    /// Whether nobody is connected and no session is held.
+    pub fn idle(&self) -> bool {
+        self.conns.is_empty() && self.sessions.is_empty()
     }
 
     /// Whether a session is one of this front's.
