Say once what ends clients' connections, who is at the meeting point and when a process ends

Change: one piece each: close_clients, read_out, one race with left, bind and log_listens, reach, as_heir, forward. The gauge of open requests takes both counts in one look.

--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -19,7 +19,7 @@
 /// A peer that takes nothing for so long while there is something to write is let go.
 pub(super) const STALLED: Duration = Duration::from_secs(2);
 /// How long a peer has to close a connection too that this side has ended.
-pub(super) const PARTING: Duration = Duration::from_millis(500);
+const PARTING: Duration = Duration::from_millis(500);
 /// Time between looks for a connection that can be let go, while descriptors are short.
 pub(super) const ROOM: Duration = Duration::from_millis(50);
 /// What one connection may bring in one turn, before the others have theirs.
@@ -80,9 +80,13 @@
 /// resets the connection. Input is dropped until the client has closed too, for a short while.
 async fn part(shared: &Handle, stream: &Async<TcpStream>, outbox: &Outbox) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
-    if !outbox.wrote() {
-        return;
+    if outbox.wrote() {
+        read_out(shared, stream).await;
     }
+}
+
+/// Drops what a peer still sends until it has closed too, for a short while.
+pub(super) async fn read_out(shared: &Handle, stream: &Async<TcpStream>) {
     let drain = async {
         loop {
             match stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await {
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{self, Read as _};
+use std::io::Read as _;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -10,7 +10,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use tracing::{info, warn};
 
-use super::conns::{PARTING, STALLED, code, within};
+use super::conns::{ROOM, STALLED, code, read_out, within};
 use super::outbox::Bell;
 use super::{Handle, micros, step};
 use crate::operate::console::{BadCall, Call, CallerId, Callers, Line, PATIENCE};
@@ -74,13 +74,7 @@
     }
     // Closing a socket with unread input would reset the connection, and the answer with it.
     let _ = stream.get_ref().shutdown(Shutdown::Write);
-    let rest = async {
-        while stream.read_with(|mut s| s.read(&mut shared.buffer.borrow_mut())).await? > 0 {
-            future::yield_now().await;
-        }
-        Ok(())
-    };
-    let _ = within(PARTING, rest).await;
+    read_out(&shared, &stream).await;
 }
 
 /// Lets callers in as long as the program runs.
@@ -91,7 +85,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!(event = "accept failed", front = "console", reason = code(&error));
-                let _: io::Result<()> = within(super::conns::ROOM, future::pending()).await;
+                Timer::after(ROOM).await;
                 continue;
             }
         };
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -89,23 +89,15 @@
     }
 
     /// What the node has for the other process.
-    pub(super) fn told(&self, shared: &Handle, messages: Vec<Message>) {
+    pub(super) fn told(self: &Rc<Self>, shared: &Handle, messages: Vec<Message>) {
         let heir = self.giver.borrow().heir();
         let suitor = heir.and_then(|heir| self.suitors.borrow().get(&heir).cloned());
         for message in messages {
-            match (&suitor, &message) {
-                (Some(outbox), _) => outbox.push(encode(&message), None),
+            match (&suitor, message) {
+                (Some(outbox), message) => outbox.push(encode(&message), None),
                 (None, Message::Left { id }) => {
-                    let mut acts = Vec::new();
-                    if let Some(heir) = &mut *self.heir.borrow_mut() {
-                        heir.left(shared.now(), *id, &mut acts);
-                    }
-                    // All that a client's leaving asks for is to be said.
-                    for act in acts {
-                        if let (heir::Act::Say(message), Some(old)) = (act, &*self.old.borrow()) {
-                            old.push(encode(&message), None);
-                        }
-                    }
+                    let now = shared.now();
+                    self.as_heir(shared, |heir, out| heir.left(now, id, out));
                 }
                 _ => {}
             }
@@ -224,11 +216,19 @@
     }
 }
 
+/// Connects to whoever is at the meeting point; none: nobody is. An error: somebody is there and can't be reached now,
+/// as one that is stopped with a full queue.
+async fn reach(path: &Path) -> io::Result<Option<Async<UnixStream>>> {
+    match within(STALLED, Async::<UnixStream>::connect(path)).await {
+        Ok(stream) => Ok(Some(stream)),
+        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Err(e),
+        Err(_) => Ok(None),
+    }
+}
+
 /// Finds out whether anybody is at the meeting point, now that the heir is gone.
 async fn look(shared: Handle, handover: Rc<Handover>) {
-    let found = within(STALLED, Async::<UnixStream>::connect(&handover.path)).await;
-    let nobody =
-        matches!(&found, Err(e) if !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut));
+    let nobody = matches!(reach(&handover.path).await, Ok(None));
     handover.as_giver(&shared, |giver, out| giver.looked(!nobody, out));
 }
 
@@ -297,14 +297,13 @@
     };
     let ask = async {
         loop {
-            let stream = match within(STALLED, Async::<UnixStream>::connect(&handover.path)).await {
-                Ok(stream) => stream,
-                // Somebody is there and can't be reached now, as one that is stopped with a full queue.
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+            let stream = match reach(&handover.path).await {
+                Ok(Some(stream)) => stream,
+                Ok(None) => return handover.as_heir(&shared, Heir::alone),
+                Err(_) => {
                     Timer::after(AGAIN).await;
                     continue;
                 }
-                Err(_) => return handover.as_heir(&shared, Heir::alone),
             };
             let outbox = Rc::new(Outbox::new(SERVERS_BYTES));
             *handover.old.borrow_mut() = Some(outbox.clone());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -145,7 +145,9 @@
     }
     if !messages.is_empty() {
         let handover = shared.handover.borrow().clone();
-        handover.iter().for_each(|handover| handover.told(shared, messages.clone()));
+        if let Some(handover) = handover {
+            handover.told(shared, messages);
+        }
     }
     shared.bell.ring();
     result
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -1,7 +1,7 @@
 //! One process from its start to its end.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,6 +39,17 @@
 /// Time between counts that the quorum is told.
 const COUNTED: Duration = Duration::from_millis(250);
 
+fn bind(field: &str, address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+        .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))
+}
+
+fn log_listens(name: &str, listener: &Async<TcpListener>, front: &str) -> io::Result<()> {
+    let address = listener.get_ref().local_addr()?;
+    info!(event = "listens", name, address = %address, front, "{name} listens on {address} for {front}");
+    Ok(())
+}
+
 /// Waits until this process has nothing left to do, as another serves in its place.
 async fn left(handover: Option<&Rc<Handover>>) -> bool {
     match handover {
@@ -90,25 +101,15 @@
         let inherited = config.inherited.filter(|_| front == Front::Platform);
         let listener = match inherited {
             Some(number) => Async::new(inherit::listener(number)?)?,
-            None => Async::<TcpListener>::bind(address)
-                .map_err(|e| io::Error::new(e.kind(), format!("{field}: can't listen on {address}: {e}")))?,
+            None => bind(field, address)?,
         };
-        let (name, address, front_name) = (&config.name, listener.get_ref().local_addr()?, front.name());
-        info!(
-            event = "listens",
-            name = name.as_str(),
-            address = %address,
-            front = front_name,
-            "{name} listens on {address} for {front_name}"
-        );
+        log_listens(&config.name, &listener, front.name())?;
         let gate = handover.clone().filter(|_| inherited.is_some());
         fronts.push(shared.executor.spawn(accept(shared.clone(), listener, front, most, gate)));
     }
     if let Some(address) = config.console {
-        let listener = Async::<TcpListener>::bind(address)
-            .map_err(|e| io::Error::new(e.kind(), format!("console: can't listen on {address}: {e}")))?;
-        let (name, address) = (config.name.as_str(), listener.get_ref().local_addr()?);
-        info!(event = "listens", name, address = %address, front = "console", "{name} listens on {address} for console");
+        let listener = bind("console", address)?;
+        log_listens(&config.name, &listener, "console")?;
         shared.executor.spawn(super::console::console(shared.clone(), listener)).detach();
     }
     let leave = Rc::new(Bell::default());
@@ -140,43 +141,29 @@
         shared.executor.spawn(handover::start(shared.clone(), handover.clone())).detach();
     }
     let stop = async {
-        let told = async {
+        // Until all that was taken is answered, unless another process has taken this one's place.
+        let served = async {
             stopping.heard().await;
-            false
-        };
-        if future::or(told, left(handover.as_ref())).await {
-            return info!(event = "stopped", reason = "another process serves");
-        }
-        let asked = shared.now();
-        leave.ring();
-        let still_coming = async {
+            let asked = shared.now();
+            leave.ring();
             Timer::after(micros(STILL_COMING)).await;
-            false
-        };
-        if future::or(still_coming, left(handover.as_ref())).await {
-            return info!(event = "stopped", reason = "another process serves");
-        }
-        drop(fronts);
-        // What was taken is answered; sessions that play end with this broker, so it stays up for them.
-        let answers_by = asked + STILL_COMING + longest_deadline(&config.settings);
-        loop {
-            let (unanswered, standing) = shared.node.borrow().held();
-            let now = shared.now();
-            if handover.as_ref().is_some_and(|h| h.yielded()) && now <= answers_by + STILL_COMING {
-                let look = async {
-                    Timer::after(Duration::from_millis(20)).await;
-                    false
-                };
-                if future::or(look, left(handover.as_ref())).await {
-                    return info!(event = "stopped", reason = "another process serves");
+            drop(fronts);
+            // Sessions that play end with this broker, so it stays up for them.
+            let answers_by = asked + STILL_COMING + longest_deadline(&config.settings);
+            loop {
+                let (unanswered, standing) = shared.node.borrow().held();
+                let now = shared.now();
+                let late = now > answers_by + STILL_COMING;
+                let lingers = standing > 0 && now < asked + LINGER;
+                let yielded = handover.as_ref().is_some_and(|h| h.yielded()) && !late;
+                if !yielded && !lingers && (unanswered == 0 || late) {
+                    return false;
                 }
-                continue;
-            }
-            let lingers = standing > 0 && now < asked + LINGER;
-            if !lingers && (unanswered == 0 || now > answers_by + STILL_COMING) {
-                break;
+                Timer::after(Duration::from_millis(20)).await;
             }
-            Timer::after(Duration::from_millis(20)).await;
+        };
+        if future::or(served, left(handover.as_ref())).await {
+            return info!(event = "stopped", reason = "another process serves");
         }
         if let Some(registry) = registry {
             registry.await;
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -3,9 +3,9 @@
 
 use super::{Node, named};
 use crate::api::*;
-use crate::broker::Input;
+use crate::broker::{Effect as Done, Input};
 use crate::operate::handover::{Message, Passed, note_number, numbered_note, status_word, worded_status};
-use crate::platform::links::{Command, Heard};
+use crate::platform::links::{Command, Heard, status};
 
 impl Node {
     /// This process asks another, or nobody, whether it may serve.
@@ -68,7 +68,7 @@
         let Some(class) = class else {
             // This process has no such class: its client hears that it is over, and comes again.
             self.links.release(now, id, &server, out);
-            return self.carry_out(now, crate::broker::Effect::Ended(id, Status::Reset), out);
+            return self.carry_out(now, Done::Ended(id, Status::Reset), out);
         };
         self.tell(now, Input::Open(passed.request(class, tenant), server.clone()), out);
         if let Some(rung) = passed.rung {
@@ -89,10 +89,7 @@
         if let Message::Over { id, .. } | Message::Noted { id, .. } = message
             && self.passed.contains_key(&SessionId(*id))
         {
-            if matches!(message, Message::Over { .. }) {
-                self.passed.remove(&SessionId(*id));
-            }
-            return self.messages.push(message.clone());
+            return self.forward(message.clone());
         }
         match message {
             Message::Over { id, server, how } => {
@@ -151,18 +148,26 @@
             Heard::Answer(..) => return false,
         };
         let Some(server) = self.passed.get(&id).map(|server| server.0.to_string()) else { return false };
-        match heard {
+        let message = match heard {
             Heard::Release(id, cause, _) => {
-                self.passed.remove(id);
-                let how = status_word(crate::platform::links::status(*cause, true)).to_owned();
-                self.messages.push(Message::Over { id: id.0, server, how });
+                let how = status_word(status(*cause, true)).to_owned();
+                Message::Over { id: id.0, server, how }
             }
             Heard::Note(id, note) => {
                 let (note, figure) = note_number(*note);
-                self.messages.push(Message::Noted { id: id.0, server, note, figure });
+                Message::Noted { id: id.0, server, note, figure }
             }
-            Heard::Answer(..) => {}
-        }
+            Heard::Answer(..) => return false,
+        };
+        self.forward(message);
         true
     }
+
+    /// Word of a session that was passed goes where it went.
+    fn forward(&mut self, message: Message) {
+        if let Message::Over { id, .. } = &message {
+            self.passed.remove(&SessionId(*id));
+        }
+        self.messages.push(message);
+    }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -235,7 +235,7 @@
             self.owed.retain(|(until, _)| *until > now);
             self.look(now, out);
             self.links.tick(now, out);
-            self.close_overdue(now, out);
+            self.close_clients(out, |c| c.overdue(now));
             self.whip(now, out, |whip, sure, wishes| whip.tick(now, sure, wishes));
         }
     }
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::Node;
+use super::viewers::ViewerConn;
 use crate::api::{Micros, SessionId};
 use crate::operate::console::{Answer, BadCall, Call};
 use crate::operate::figures::Gauges;
@@ -44,9 +45,10 @@
     /// The figures as they are now.
     fn read_figures(&mut self, now: Micros) -> String {
         self.figures.classes(&self.names.classes);
+        // A session that plays is a request that has not ended.
+        let (unanswered, standing) = self.held();
         let gauges = Gauges {
-            // A session that plays is a request that has not ended.
-            open_requests: self.broker.unanswered() + self.broker.standing(),
+            open_requests: unanswered + standing,
             registry_entries: self.servers.len(),
             out_of_rotation: self.broker.avoided(now),
         };
@@ -71,21 +73,22 @@
             return;
         }
         self.let_go_at = now + LET_GO_EVERY;
-        let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
-        for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
+        let phase = self.phase;
+        self.close_clients(out, |c| {
             let quiet = !c.closing && c.open.is_empty() && c.begun.is_none();
-            if quiet && self.phase.lets_go(now, c.used, c.spoke) {
-                c.closing = true;
-                out.push(Command::Close(*conn, "draining"));
-            }
-        }
+            (quiet && phase.lets_go(now, c.used, c.spoke)).then_some("draining")
+        });
     }
 
-    /// Clients' connections that are overdue; those that a session was set up on stay.
-    pub(super) fn close_overdue(&mut self, now: Micros, out: &mut Vec<Command>) {
+    /// Ends clients' connections that there is a reason to end; those that a session was set up on stay.
+    pub(super) fn close_clients(
+        &mut self,
+        out: &mut Vec<Command>,
+        why: impl Fn(&ViewerConn) -> Option<&'static str>,
+    ) {
         let homes: BTreeSet<ConnId> = self.homes.values().copied().collect();
         for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !homes.contains(conn)) {
-            if let Some(reason) = c.overdue(now) {
+            if let Some(reason) = why(c) {
                 c.closing = true;
                 out.push(Command::Close(*conn, reason));
             }
