--- a/src/operate/handover/mod.rs
+++ b/src/operate/handover/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod giver;
 pub mod heir;
+mod reader;
+
+pub use reader::Reader;
 
 use serde::{Deserialize, Serialize};
 
@@ -10,8 +13,6 @@
 
 /// What this build speaks. Fields that a build does not know are skipped; a change that both must know raises this.
 pub const VERSION: u32 = 1;
-/// The longest line: a session is some hundred bytes.
-const LONGEST: usize = 64 * 1024;
 
 /// A session that stands, as one process passes it to the other. Classes and tenants go by name: the two processes
 /// may have read different files.
@@ -176,43 +177,9 @@
     line
 }
 
-/// The reading side. What can't be read ends it: nothing behind it counts.
-#[derive(Debug, Default)]
-pub struct Reader {
-    read: Vec<u8>,
-    broken: bool,
-}
-
-impl Reader {
-    /// Takes bytes in; gives the messages that are whole.
-    pub fn feed(&mut self, bytes: &[u8]) -> Vec<Message> {
-        let mut messages = Vec::new();
-        for piece in bytes.split_inclusive(|b| *b == b'\n') {
-            if self.broken {
-                break;
-            }
-            self.read.extend_from_slice(piece);
-            if self.read.len() > LONGEST {
-                self.broken = true;
-            } else if self.read.ends_with(b"\n") {
-                match serde_json::from_slice(&self.read) {
-                    Ok(message) => messages.push(message),
-                    Err(_) => self.broken = true,
-                }
-                self.read.clear();
-            }
-        }
-        messages
-    }
-
-    /// Whether what came can't be read.
-    pub fn broken(&self) -> bool {
-        self.broken
-    }
-}
-
 #[cfg(test)]
 mod tests {
+    use super::reader::LONGEST;
     use super::*;
 
     fn all() -> Vec<Message> {
