--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -215,3 +215,11 @@
     let targets: Vec<Value> = edges.iter().enumerate().map(target).collect();
     json!({"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]})
 }
+
+/// Asks for a session of a class with an offer, and tells how long its viewer waits.
+pub fn ask_for(stream: &mut TcpStream, id: u64, class: &str, left: u64, offer: &str) {
+    let fields = json!({"class": class, "left": left, "tenant": "home", "key": format!("k{}", id % 7),
+        "extras": "home:0;copies:3;top:1"});
+    let line = json!({"type": "setup", "id": format!("{id:016x}"), "sdp": offer, "fields": fields});
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+}
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -1,7 +1,7 @@
 //! The program as a process.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -180,6 +180,15 @@
         stream
     }
 
+    /// One call at the second address, and all that it was answered.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = self.connect("console");
+        stream.write_all(line.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
