Tell in the log and the figures what keeps a process up that was told to end

A process that ends now logs every half second how many requests, sessions, connections and unwritten queues are left ('ending'), and the requests whose answers come last with id, class, connection, server and time left ('ending.waits'). The end of a connection tells how many requests it takes with it. The second address gives unanswered_requests, playing_sessions and client_connections. Tests of the figures hold the new lines. Nothing else changes.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -22,6 +22,7 @@
 pub use effect::{Description, Effect, Failure, SetUp};
 pub use guard::{Guard, History};
 pub use input::Input;
+pub use queries::OpenRequest;
 
 use crate::api::{
     Action, Effect as Repeat, Event, ListKind, Micros, Note, Rung, ServerEntry, ServerId, SessionId, Settings,
--- a/src/broker/queries.rs
+++ b/src/broker/queries.rs
@@ -3,6 +3,19 @@
 use super::Broker;
 use crate::api::{Micros, Request, Rung, ServerEntry, ServerId, ServerState, SessionId};
 
+/// A request that is owed an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenRequest {
+    /// The request.
+    pub id: SessionId,
+    /// Number of its class.
+    pub class: usize,
+    /// The server that an attempt is out at; none: it waits for one.
+    pub server: Option<ServerId>,
+    /// When it is answered at the latest.
+    pub due: Micros,
+}
+
 impl Broker {
     /// When it next wants [`Input::Tick`](super::Input::Tick).
     pub fn next_alarm(&self) -> Option<Micros> {
@@ -39,6 +52,22 @@
         self.sessions.unanswered()
     }
 
+    /// The requests whose answers may come last, so many at most.
+    pub fn last_due(&self, most: usize) -> Vec<OpenRequest> {
+        let unanswered = self.sessions.iter().filter(|session| session.unanswered());
+        let mut open: Vec<OpenRequest> = unanswered
+            .map(|session| OpenRequest {
+                id: session.request.id,
+                class: session.request.class,
+                server: session.server().cloned(),
+                due: session.request.due,
+            })
+            .collect();
+        open.sort_by_key(|request| std::cmp::Reverse(request.due));
+        open.truncate(most);
+        open
+    }
+
     /// Sessions that stand.
     pub fn standing(&self) -> usize {
         self.sessions.standing()
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -138,7 +138,8 @@
 
 fn ended(shared: &Handle, conn: ConnId, peer: &str, reason: &str, how: Closed) {
     shared.boxes.borrow_mut().remove(&conn);
-    info!(event = "end", conn = conn.0, peer, reason);
+    let unanswered = shared.node.borrow().unanswered_on(conn);
+    info!(event = "end", conn = conn.0, peer, reason, unanswered);
     step(shared, |node, now, out| node.closed(now, conn, &how, out));
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod conns;
 mod console;
+mod ending;
 mod files;
 mod handover;
 mod inherit;
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -151,6 +151,7 @@
         // Until all that was taken is answered, unless another process has taken this one's place.
         let served = async {
             stopping.heard().await;
+            shared.executor.spawn(super::ending::report(shared.clone())).detach();
             let asked = shared.now();
             leave.ring();
             Timer::after(micros(STILL_COMING)).await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod connections;
 mod effects;
+mod ending;
 mod handover;
 mod http;
 mod leaving;
@@ -27,6 +28,7 @@
 use crate::roster::Names;
 use crate::trace::{Event as Traced, Tracer};
 use crate::whip::{self, Title};
+pub use ending::{HeldRequest, Remaining};
 use viewer_conn::ViewerConn;
 
 /// The part of the memory that sessions and their descriptions may take: the latter lie in the queues to servers
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -46,9 +46,12 @@
     fn read_figures(&mut self, now: Micros) -> String {
         self.figures.classes(&self.names.classes);
         // A session that plays is a request that has not ended.
-        let (unanswered, standing) = self.held();
+        let remaining = self.remaining();
         let gauges = Gauges {
-            open_requests: unanswered + standing,
+            open_requests: remaining.unanswered + remaining.playing,
+            unanswered_requests: remaining.unanswered,
+            playing_sessions: remaining.playing,
+            client_connections: remaining.clients,
             registry_entries: self.servers.len(),
             out_of_rotation: self.broker.avoided(now),
         };
--- a/src/operate/figures.rs
+++ b/src/operate/figures.rs
@@ -40,6 +40,12 @@
 pub struct Gauges {
     /// Requests taken and not yet ended: those that wait for their answer, and sessions that play.
     pub open_requests: usize,
+    /// Of these, the ones that wait for their answer.
+    pub unanswered_requests: usize,
+    /// Of these, the sessions that play.
+    pub playing_sessions: usize,
+    /// Clients' connections.
+    pub client_connections: usize,
     /// Servers in the list.
     pub registry_entries: usize,
     /// Servers in the list that are avoided now.
@@ -126,6 +132,9 @@
             each.iter().for_each(|(figure, n)| line(&format!("operations.{class}.{figure}"), *n));
         }
         line("open_requests", gauges.open_requests as u64);
+        line("unanswered_requests", gauges.unanswered_requests as u64);
+        line("playing_sessions", gauges.playing_sessions as u64);
+        line("client_connections", gauges.client_connections as u64);
         line("registry_entries", gauges.registry_entries as u64);
         line("out_of_rotation", gauges.out_of_rotation as u64);
         line("cfg_accepted", self.accepted);
@@ -158,14 +167,22 @@
         figures.file(true);
         figures.file(false);
         figures.file(false);
-        let gauges = Gauges { open_requests: 1, registry_entries: 13, out_of_rotation: 2 };
+        let gauges = Gauges {
+            open_requests: 5,
+            unanswered_requests: 1,
+            playing_sessions: 4,
+            client_connections: 3,
+            registry_entries: 13,
+            out_of_rotation: 2,
+        };
         let told = "broker.operations.clip.fulfilled=0\nbroker.operations.clip.throttled=0\n\
             broker.operations.clip.faulted=0\nbroker.operations.clip.relayed=0\n\
             broker.operations.gone.fulfilled=0\nbroker.operations.gone.throttled=0\n\
             broker.operations.gone.faulted=1\nbroker.operations.gone.relayed=2\n\
             broker.operations.paid.fulfilled=1\nbroker.operations.paid.throttled=1\n\
             broker.operations.paid.faulted=0\nbroker.operations.paid.relayed=3\n\
-            broker.open_requests=1\nbroker.registry_entries=13\nbroker.out_of_rotation=2\n\
+            broker.open_requests=5\nbroker.unanswered_requests=1\nbroker.playing_sessions=4\n\
+            broker.client_connections=3\nbroker.registry_entries=13\nbroker.out_of_rotation=2\n\
             broker.cfg_accepted=1\nbroker.cfg_invalid=2\n";
         assert_eq!(figures.lines(gauges), told);
         assert_eq!(figures.remembered(), 0);
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -115,6 +115,11 @@
         self.links.contains_key(&conn)
     }
 
+    /// Set-ups that are out on a connection, or wait for it.
+    pub fn set_ups_on(&self, conn: ConnId) -> usize {
+        self.links.get(&conn).map_or(0, |link| link.set_ups.len())
+    }
+
     /// The number of connections.
     pub fn len(&self) -> usize {
         self.links.len()
