--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! The shared helper of the network tests: the program as a process, stand-in edge servers, and clients.
 #![allow(dead_code, unused_imports)] // each test file uses its own part
 
+pub mod askers;
 pub mod crossing;
 pub mod handover_relay;
 mod http;
