End a process by a plan that the earliest SIGKILL bounds, not by when its work is done

Cause: the wait after SIGTERM (net/run.rs) was bounded by the process's own work: doors closed at 0.7 s + longest deadline + 0.7 s, after a hand-over not at all, always later than the earliest SIGKILL; one request without an answer kept all connections open and new requests were taken on them; requests waited up to their own deadlines; sessions kept the process for 30 s. The core cuts deadlines and attempts to that, and the module (brain/ending.rs) refuses at once what is not likely to be answered by then. What plays is released on both sides before connections are let go: ends were queued behind the close before, and no client heard of them.

--- a/src/broker/input.rs
+++ b/src/broker/input.rs
@@ -58,7 +58,9 @@
     Turns(Micros),
     /// A server was lost with all that stood there.
     Lost(ServerId),
-    /// The broker ends: what stands is released on both sides.
+    /// The process was told to end: by then each request must have its answer.
+    Ends(Micros),
+    /// The broker ends: what waits is answered, and what stands is released on both sides.
     End,
     /// Time has passed.
     Tick,
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod decide;
 mod effect;
+mod ending;
 mod guard;
 mod input;
 mod late;
@@ -117,8 +118,12 @@
             Input::Settings(settings) => self.settings_changed(settings),
             Input::Passed(id) => self.passed(id),
             Input::Turns(from) => self.turns_changed(from),
+            Input::Ends(at) => self.ends(at),
             Input::Lost(server) => self.server_lost(now, server, out),
-            Input::End => self.release_standing(now, out),
+            Input::End => {
+                self.answer_all(now, out);
+                self.release_standing(now, out);
+            }
             Input::Tick => {}
         }
     }
--- a/src/broker/renewal.rs
+++ b/src/broker/renewal.rs
@@ -28,6 +28,8 @@
     pub turns: Option<Micros>,
     /// The place among the fronts.
     pub fronts: Option<FrontPlace>,
+    /// By when each request must have its answer, as the process ends.
+    pub answer_by: Option<Micros>,
 }
 
 impl Told {
@@ -35,7 +37,8 @@
         let settings = self.settings.clone().map(Event::Settings);
         let turns = self.turns.map(Event::Turns);
         let fronts = self.fronts.map(FrontPlace::event);
-        settings.into_iter().chain(turns).chain(fronts)
+        let ends = self.answer_by.map(Event::Ends);
+        settings.into_iter().chain(turns).chain(fronts).chain(ends)
     }
 }
 
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -9,17 +9,18 @@
 const SESSION_BYTES: usize = 1024;
 
 /// How long after a request's deadline the core itself answers, should the module have kept silent.
-const BACKSTOP_DELAY: Micros = Micros(5_000);
+pub(super) const BACKSTOP_DELAY: Micros = Micros(5_000);
 
 impl Broker {
     /// A client asks for a session.
     pub(super) fn request(
         &mut self,
         now: Micros,
-        request: Request,
+        mut request: Request,
         offer: Description,
         out: &mut Vec<Effect>,
     ) {
+        request.due = self.told.answer_by.map_or(request.due, |answer_by| request.due.min(answer_by));
         if self.sessions.contains(request.id) {
             return;
         }
--- a/src/broker/sessions/mod.rs
+++ b/src/broker/sessions/mod.rs
@@ -9,7 +9,7 @@
 
 pub(super) use session::{Attempt, Placement, Session, Stage};
 
-use crate::api::{ServerId, SessionId, Status};
+use crate::api::{Micros, ServerId, SessionId, Status};
 
 /// All sessions that are unanswered or stand.
 #[derive(Debug, Default)]
@@ -62,6 +62,13 @@
         session.stage = Stage::Trying(attempt);
     }
 
+    /// An attempt that is out is waited for no longer than until then; gives its number.
+    pub fn shorten_attempt(&mut self, id: SessionId, deadline: Micros) -> Option<u32> {
+        let Stage::Trying(attempt) = &mut self.sessions.get_mut(&id)?.stage else { return None };
+        attempt.deadline = attempt.deadline.min(deadline);
+        Some(attempt.number)
+    }
+
     /// The attempt that is out ended without success; the session waits again. Gives the attempt.
     pub fn end_attempt(&mut self, id: SessionId, status: Status) -> Option<Attempt> {
         let session = self.sessions.get_mut(&id)?;
--- a/src/module/api/events.rs
+++ b/src/module/api/events.rs
@@ -74,6 +74,8 @@
     Settings(Box<Settings>),
     /// Cold turns are this front's if they begin then or later; [`Micros::MAX`]: none.
     Turns(Micros),
+    /// This front was told to end: by then each request must have its answer.
+    Ends(Micros),
     /// A probe ended.
     Probed {
         /// The server.
--- /dev/null
+++ b/src/module/brain/ending.rs
@@ -0,0 +1,40 @@
+//! A front that was told to end: until when it answers, and what it still takes on.
+
+use super::*;
+
+/// A set-up of a class that may be repeated is begun if so many times its usual time are left.
+const REPEATABLE_TIMES: f64 = 3.0;
+/// A set-up that must not happen twice may take as long as its class wants it within, but never more than this part of
+/// the time that the front had when it was told.
+const ONCE_PART: u64 = 2;
+
+impl Brain {
+    /// This front ends: all that waits is answered by then.
+    pub(super) fn ends(&mut self, at: Micros, out: &mut Vec<Action>) {
+        let told = self.book.end.map_or(self.book.now, |end| end.told_at);
+        self.book.end = Some(End { told_at: told, answer_by: at });
+        let waiting =
+            self.book.sessions.iter_mut().filter(|(_, s)| matches!(s.phase, Phase::Held | Phase::Setup));
+        for (id, session) in waiting.filter(|(_, s)| s.req.due > at) {
+            self.book.deadlines.advance(session.req.due, at, *id);
+            session.req.due = at;
+        }
+        self.answer_due(out);
+    }
+
+    /// Whether a new request is taken on. Where the front ends before the request's own time, a request that may well
+    /// not be answered by then is refused at once, while it is sure that nothing ran. May hurt when another process
+    /// would not be quicker.
+    pub(super) fn takes_on(&self, id: SessionId) -> bool {
+        let (Some(end), Some(session)) = (self.book.end, self.book.sessions.get(&id)) else { return true };
+        let left = end.answer_by - self.book.now;
+        let class = &self.set.classes[session.req.class];
+        let wanted = match class.effect {
+            Effect::Safe => Micros::from_secs(self.book.setup_s * REPEATABLE_TIMES) + self.spare(),
+            Effect::Unsafe | Effect::Keyed { .. } => {
+                class.aim.min(Micros((end.answer_by - end.told_at).0 / ONCE_PART))
+            }
+        };
+        session.req.due < end.answer_by || left >= wanted
+    }
+}
--- a/src/module/brain/held.rs
+++ b/src/module/brain/held.rs
@@ -31,7 +31,7 @@
         let title = session.req.title.clone();
         self.book.sessions.insert(id, session);
         self.book.waiting.push_back(id, title, self.constraints(id));
-        if unable {
+        if unable || !self.takes_on(id) {
             return self.answer(id, out);
         }
         self.expect_deadline(id, out);
--- a/src/module/brain/mod.rs
+++ b/src/module/brain/mod.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod deadlines;
 mod demand;
+mod ending;
 mod health;
 mod held;
 mod notes;
@@ -90,6 +91,7 @@
                 self.refile();
             }
             Event::Turns(from) => self.book.turns_from = from,
+            Event::Ends(at) => self.ends(at, out),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
         if !self.book.ticking && !self.book.sessions.is_empty() {
--- a/src/module/deadlines.rs
+++ b/src/module/deadlines.rs
@@ -16,6 +16,12 @@
         self.by_deadline.insert((deadline, id));
     }
 
+    /// A request's deadline has become an earlier one.
+    pub(crate) fn advance(&mut self, from: Micros, to: Micros, id: SessionId) {
+        self.by_deadline.remove(&(from, id));
+        self.by_deadline.insert((to, id));
+    }
+
     /// Requests whose deadlines come until then, the next one first.
     pub(crate) fn until(&self, end: Micros) -> impl Iterator<Item = SessionId> {
         self.by_deadline.range(..=(end, SessionId(u64::MAX))).map(|(_, id)| *id)
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -97,6 +97,15 @@
     pub(crate) playing: bool,
 }
 
+/// The end of this front.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct End {
+    /// When it was told of it.
+    pub(crate) told_at: Micros,
+    /// By then each request is answered.
+    pub(crate) answer_by: Micros,
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
@@ -110,6 +119,8 @@
     pub(crate) born: Option<Micros>,
     /// Cold turns that began before this are another process' of the same front.
     pub(crate) turns_from: Micros,
+    /// This front was told to end.
+    pub(crate) end: Option<End>,
     pub(crate) usual: f64,
     pub(crate) usual_at: Micros,
     pub(crate) racks: Vec<Gauge>,
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -13,12 +13,12 @@
 use super::accept::{Door, accept};
 use super::board::follow;
 use super::clock::unix;
+use super::ending::{Ending, end};
 use super::handover::Handover;
 use super::outbox::Bell;
 use super::registry::take_part;
 use super::signals::{signals, whole};
-use super::{Handle, Shared, files, handover, inherit, keep_time, micros, quorum, step};
-use crate::api::Micros;
+use super::{Handle, Shared, files, handover, inherit, keep_time, quorum, step};
 use crate::board::Board;
 use crate::config::Config;
 use crate::eureka::Eureka;
@@ -29,12 +29,6 @@
 use crate::roster::Source;
 use crate::rules::standing::Standing;
 
-/// After SIGTERM connections and requests keep coming for so long.
-const STILL_COMING: Micros = Micros(700_000);
-/// How long sessions that play may keep a broker up that was told to stop.
-const LINGER: Micros = Micros(30_000_000);
-/// So long servers have at the end to hear that what stood there is over, and clients to close their connections.
-const LAST_ENDS: Micros = Micros(2_000_000);
 /// Time between counts that the quorum is told.
 const COUNTED: Duration = Duration::from_millis(250);
 
@@ -50,12 +44,11 @@
 }
 
 /// Waits until this process has nothing left to do, as another serves in its place.
-async fn left(handover: Option<&Rc<Handover>>) -> bool {
+async fn left(handover: Option<&Rc<Handover>>) {
     match handover {
         Some(handover) => handover.left.heard().await,
         None => future::pending().await,
     }
-    true
 }
 
 /// Tells the quorum what the node counts.
@@ -125,6 +118,7 @@
         shared.executor.spawn(take_part(shared.clone(), registry, leave.clone()))
     });
     shared.executor.spawn(keep_time(shared.clone())).detach();
+    let handed = handover.clone();
     let stopping = Rc::new(Bell::default());
     let incarnation = Incarnation(unix().0);
     let setup = config.quorum.as_ref();
@@ -147,57 +141,17 @@
     if let Some(handover) = &handover {
         shared.executor.spawn(handover::start(shared.clone(), handover.clone())).detach();
     }
+    let ending = Ending { handover, fronts, last_calls, registry };
     let stop = async {
-        // Until all that was taken is answered, unless another process has taken this one's place.
-        let served = async {
-            stopping.heard().await;
-            shared.executor.spawn(super::ending::report(shared.clone())).detach();
-            let asked = shared.now();
-            leave.ring();
-            Timer::after(micros(STILL_COMING)).await;
-            // Connections that came in time are taken before the listening socket goes.
-            last_calls.iter().for_each(|bell| bell.ring());
-            for front in fronts {
-                front.await;
-            }
-            // Sessions that play end with this broker, so it stays up for them.
-            let answers_by = asked + STILL_COMING + shared.timings.get().longest_deadline;
-            let mut closed = false;
-            loop {
-                let (unanswered, standing) = shared.node.borrow().held();
-                let now = shared.now();
-                let late = now > answers_by + STILL_COMING;
-                let lingers = standing > 0 && now < asked + LINGER;
-                let yielded = handover.as_ref().is_some_and(|h| h.yielded()) && !late;
-                let over = !yielded && !lingers && (unanswered == 0 || late);
-                if over && !closed {
-                    // Nothing runs between the count and this: what comes from here on is turned away.
-                    closed = true;
-                    step(&shared, |node, _, out| node.close_doors(out));
-                }
-                // What was taken late has its deadline too, at which it is answered.
-                if closed && unanswered == 0 {
-                    return false;
-                }
-                Timer::after(Duration::from_millis(20)).await;
-            }
-        };
-        if future::or(served, left(handover.as_ref())).await {
-            return info!(event = "stopped", reason = "another process serves");
-        }
-        if let Some(registry) = registry {
-            registry.await;
-        }
-        step(&shared, |node, now, out| node.end(now, out));
-        // Last words are still on their way out; ends that are told over HTTP are waited for.
-        let ended = shared.now();
-        Timer::after(Duration::from_millis(50)).await;
-        let unheard = || shared.node.borrow().ending() > 0 || shared.accepted.get() > 0;
-        while unheard() && shared.now() < ended + LAST_ENDS {
-            Timer::after(Duration::from_millis(20)).await;
-        }
-        info!(event = "stopped");
+        stopping.heard().await;
+        leave.ring();
+        end(&shared, ending).await;
+    };
+    let other = async {
+        left(handed.as_ref()).await;
+        info!(event = "stopped", reason = "another process serves");
     };
+    let stop = future::or(stop, other);
     async_io::block_on(shared.executor.run(stop));
     Ok(())
 }
--- a/src/node/ending.rs
+++ b/src/node/ending.rs
@@ -1,9 +1,9 @@
-//! What a process that was told to end still waits for.
+//! The end of a process: what it still does, and what it still waits for.
 
 use super::Node;
 use crate::api::{Micros, ServerId, SessionId};
-use crate::broker::OpenRequest;
-use crate::platform::links::ConnId;
+use crate::broker::{Input, OpenRequest};
+use crate::platform::links::{Command, ConnId};
 
 /// How much of each kind keeps a process up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -34,6 +34,27 @@
 }
 
 impl Node {
+    /// The process ends: by then each request must have its answer.
+    pub fn ends_by(&mut self, now: Micros, at: Micros, out: &mut Vec<Command>) {
+        self.tell(now, Input::Ends(at), out);
+    }
+
+    /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere. Turns at cold servers are
+    /// the next process's, which may have the same number and start at once.
+    pub fn stop(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.phase.end();
+        self.tell(now, Input::Turns(Micros::MAX), out);
+        if let Some(whip) = &mut self.whip {
+            whip.keep(false);
+        }
+    }
+
+    /// The program ends: nothing may be left standing that nobody holds.
+    pub fn end(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.tell(now, Input::End, out);
+        self.let_all_go(out);
+    }
+
     /// What is still waited for.
     pub fn remaining(&self) -> Remaining {
         let (unanswered, playing) = self.held();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -205,21 +205,6 @@
         own.chain(others).max().unwrap_or(0)
     }
 
-    /// From now on tests fail and no HTTP connection is kept, so that clients go elsewhere. Turns at cold servers are
-    /// the next process's, which may have the same number and start at once.
-    pub fn stop(&mut self, now: Micros, out: &mut Vec<Command>) {
-        self.phase.end();
-        self.tell(now, Input::Turns(Micros::MAX), out);
-        if let Some(whip) = &mut self.whip {
-            whip.keep(false);
-        }
-    }
-
-    /// The program ends: nothing may be left standing that nobody holds.
-    pub fn end(&mut self, now: Micros, out: &mut Vec<Command>) {
-        self.tell(now, Input::End, out);
-    }
-
     /// Lines for the log since the last call.
     pub fn take_log(&mut self) -> Vec<String> {
         std::mem::take(&mut self.log)
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -90,9 +90,10 @@
         }
     }
 
-    /// Once the doors are closed, lets every connection go on which no answer is owed.
+    /// Once the doors are closed and nothing plays whose end is still to be told, lets every connection go on which no
+    /// answer is owed.
     pub(super) fn let_all_go(&mut self, out: &mut Vec<Command>) {
-        if !self.phase.closed() {
+        if !self.phase.closed() || self.broker.standing() > 0 {
             return;
         }
         for (conn, c) in self.viewers.iter_mut().filter(|(_, c)| !c.closing && c.open.is_empty()) {
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -5,4 +5,5 @@
 pub mod figures;
 pub mod handover;
 pub mod phase;
+pub mod planned_end;
 pub mod settings;
