Begin the next attempt once the end of the last is written, not 5 ms after it was queued

Cause: the margin of 5 ms between attempts counted from the moment at which the end of the first was queued (platform/links/writing.rs, give_up). Behind a full send buffer (a server that hangs and reads nothing) the end was not written for seconds, while the next attempt reached another server: a bound on time is no proof. Change: an attempt that is given up is 'withdrawing' until the connection's driver tells that its end was written whole, that not a byte of it ever left, or that the connection is over; until then the core lets no other attempt of the request out and the module hears of no outcome. The module decides what that means: the request waits for that or for its own time, and what may be repeated is then refused, not failed. A stalled connection is reset, so that what the machine holds does not reach a slow server later. The 5 ms stay, from the written end on, against the different ways of two connections. Log: session.withdrawn. Tests that drive the core or the node without sockets now say that ends are written at once; what they assert is unchanged.

--- a/fleetlog/src/counts.rs
+++ b/fleetlog/src/counts.rs
@@ -135,6 +135,7 @@
                 1,
             ),
             Event::Opened { .. }
+            | Event::Withdrawn { .. }
             | Event::Released { .. }
             | Event::ReplyQueued { .. }
             | Event::ReplyWritten { .. }
--- a/fleetlog/src/fold.rs
+++ b/fleetlog/src/fold.rs
@@ -217,6 +217,7 @@
             Event::Rung { id, .. }
             | Event::Opened { id, .. }
             | Event::Released { id, .. }
+            | Event::Withdrawn { id, .. }
             | Event::ReplyQueued { id, .. }
             | Event::ReplyWritten { id, .. }
             | Event::ReplyDropped { id } => (Some(id), false),
--- a/lab/src/world/brokers.rs
+++ b/lab/src/world/brokers.rs
@@ -73,9 +73,15 @@
                 self.queue.after(Micros(WAY.0 * 3), Due::Dialled(line, of));
             }
             // Here a set-up is on its way as soon as it was written.
-            Command::Write(conn, bytes, _)
-            | Command::WriteEnd(conn, bytes)
-            | Command::Withdraw(conn, _, bytes) => {
+            Command::Withdraw(conn, id, bytes) => {
+                let line = line(conn);
+                if let Some(way) = self.ways.get(&line) {
+                    self.queue.after(WAY, Due::ToBox(line, way.of, bytes));
+                }
+                let now = self.queue.now();
+                self.with(broker, |node, out| node.withdrawn(now, conn, id, out));
+            }
+            Command::Write(conn, bytes, _) | Command::WriteEnd(conn, bytes) => {
                 let line = line(conn);
                 match self.ways.get(&line) {
                     Some(way) => self.queue.after(WAY, Due::ToBox(line, way.of, bytes)),
--- a/src/broker/answers.rs
+++ b/src/broker/answers.rs
@@ -137,7 +137,7 @@
 
     /// Forgets a request that has had its final answer.
     fn close_unanswered(&mut self, now: Micros, id: SessionId, out: &mut Vec<Effect>) {
-        self.withdraw_attempt(now, id, Status::Cancelled, true, out);
+        self.drop_attempt(now, id, Status::Cancelled, out);
         self.sessions.remove(id);
     }
 }
--- a/src/broker/attempts.rs
+++ b/src/broker/attempts.rs
@@ -52,35 +52,49 @@
         });
     }
 
-    /// Gives up the attempt that is out, if one is: its server is told, and the module hears of its outcome.
-    /// `closed` says that no answer is owed any more.
-    pub(super) fn withdraw_attempt(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        status: Status,
-        closed: bool,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(attempt) = self.sessions.end_attempt(id, status) else { return };
-        out.push(Effect::GiveUp(id, attempt.server.clone()));
+    /// Gives up the attempt that is out, if one is: its server is told. The module hears of the outcome, and may send the
+    /// next attempt, once that is written: see [`Broker::withdrawn`].
+    fn withdraw_attempt(&mut self, now: Micros, id: SessionId, status: Status, out: &mut Vec<Effect>) {
+        let Some(attempt) = self.sessions.begin_withdrawal(id, status) else { return };
         self.late.expect(now, id, &attempt.server);
-        self.events.push_back(Event::Outcome {
-            id,
-            attempt: attempt.number,
-            server: attempt.server,
-            status,
-            took: now - attempt.sent_at,
-            closed,
-            load: Load::default(),
-        });
+        out.push(Effect::GiveUp(id, attempt.server));
+        self.events.push_back(Event::Withdrawing(id));
+    }
+
+    /// The end of an attempt that was given up is written, or its connection is over.
+    pub(super) fn withdrawn(&mut self, now: Micros, id: SessionId, server: &ServerId) {
+        if let Some((attempt, status)) = self.sessions.end_withdrawal(id, server) {
+            self.report_outcome(now, id, attempt, status, false);
+        }
+    }
+
+    /// No answer is owed any more: gives up the attempt that is out, if one is.
+    pub(super) fn drop_attempt(&mut self, now: Micros, id: SessionId, status: Status, out: &mut Vec<Effect>) {
+        let Some(session) = self.sessions.get(id) else { return };
+        let attempt = match session.stage().clone() {
+            Stage::Trying(attempt) => {
+                out.push(Effect::GiveUp(id, attempt.server.clone()));
+                self.late.expect(now, id, &attempt.server);
+                attempt
+            }
+            Stage::Withdrawing(attempt, _) => attempt,
+            Stage::Waiting | Stage::Standing(_) => return,
+        };
+        self.report_outcome(now, id, attempt, status, true);
+    }
+
+    /// The module hears of an attempt that ended without a server's word. `closed` says that no answer is owed any more.
+    fn report_outcome(&mut self, now: Micros, id: SessionId, attempt: Attempt, status: Status, closed: bool) {
+        let (took, load) = (now - attempt.sent_at, Load::default());
+        let Attempt { server, number, .. } = attempt;
+        self.events.push_back(Event::Outcome { id, attempt: number, server, status, took, closed, load });
     }
 
     /// The module cancels an attempt; nothing happens if it is over.
     pub(super) fn cancel_attempt(&mut self, now: Micros, id: SessionId, number: u32, out: &mut Vec<Effect>) {
         let attempt = self.sessions.get(id).and_then(Session::attempt);
         if attempt.is_some_and(|attempt| attempt.number == number) {
-            self.withdraw_attempt(now, id, Status::Cancelled, false, out);
+            self.withdraw_attempt(now, id, Status::Cancelled, out);
         }
     }
 
@@ -98,7 +112,7 @@
             return;
         }
         session.timed_out = true;
-        self.withdraw_attempt(now, id, Status::TimedOut, false, out);
+        self.withdraw_attempt(now, id, Status::TimedOut, out);
     }
 }
 
--- a/src/broker/effect.rs
+++ b/src/broker/effect.rs
@@ -42,7 +42,7 @@
 pub enum Effect {
     /// Send a set-up.
     SetUp(SetUp),
-    /// Tell a server that an attempt is given up.
+    /// Tell a server that an attempt is given up; [`Input::Withdrawn`](super::Input::Withdrawn) says when that is written.
     GiveUp(SessionId, ServerId),
     /// End a session at its server.
     Cut(SessionId, ServerId),
--- a/src/broker/input.rs
+++ b/src/broker/input.rs
@@ -41,6 +41,13 @@
         /// The server's report, if one came.
         load: Load,
     },
+    /// The end of an attempt that was given up is written to its server, or its connection is over.
+    Withdrawn {
+        /// The session.
+        id: SessionId,
+        /// The server.
+        server: ServerId,
+    },
     /// A note on a session that stands.
     Note {
         /// The session.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -114,6 +114,7 @@
             Input::Over { id, server, status, load } => {
                 self.over(now, id, ServerOutcome { server, status, load }, out);
             }
+            Input::Withdrawn { id, server } => self.withdrawn(now, id, &server),
             Input::Note { id, server, note } => self.noted(id, server, note),
             Input::Settings(settings) => self.settings_changed(settings),
             Input::Passed(id) => self.passed(id),
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -57,9 +57,9 @@
         let Some(session) = self.sessions.get(id) else { return };
         match session.stage().clone() {
             Stage::Waiting => self.events.push_back(Event::Gone(id)),
-            Stage::Trying(attempt) => {
+            Stage::Trying(attempt) | Stage::Withdrawing(attempt, _) => {
                 self.events.push_back(Event::Gone(id));
-                self.withdraw_attempt(attempt.sent_at, id, Status::Cancelled, true, out);
+                self.drop_attempt(attempt.sent_at, id, Status::Cancelled, out);
             }
             Stage::Standing(placement) => {
                 out.push(Effect::Cut(id, placement.server.clone()));
--- a/src/broker/sessions/mod.rs
+++ b/src/broker/sessions/mod.rs
@@ -78,6 +78,27 @@
         Some(attempt)
     }
 
+    /// The attempt that is out is given up: the session waits until the end of it is written. Gives the attempt.
+    pub fn begin_withdrawal(&mut self, id: SessionId, status: Status) -> Option<Attempt> {
+        let session = self.sessions.get_mut(&id)?;
+        let attempt = session.attempt()?.clone();
+        session.stage = Stage::Withdrawing(attempt.clone(), status);
+        Some(attempt)
+    }
+
+    /// The end of an attempt at a server is written: the session waits again. Gives the attempt and why it was given up.
+    pub fn end_withdrawal(&mut self, id: SessionId, server: &ServerId) -> Option<(Attempt, Status)> {
+        let session = self.sessions.get_mut(&id)?;
+        let Stage::Withdrawing(attempt, status) = &session.stage else { return None };
+        let withdrawn = (attempt.clone(), *status);
+        if withdrawn.0.server != *server {
+            return None;
+        }
+        session.stage = Stage::Waiting;
+        session.history.ended(withdrawn.1);
+        Some(withdrawn)
+    }
+
     /// The attempt that is out succeeded; the session stands at its server. Gives the attempt.
     pub fn stand(&mut self, id: SessionId) -> Option<Attempt> {
         let session = self.sessions.get_mut(&id)?;
--- a/src/broker/sessions/session.rs
+++ b/src/broker/sessions/session.rs
@@ -1,6 +1,6 @@
 //! One session: its request, its stage and what is known of its attempts.
 
-use crate::api::{Micros, Request, Rung, ServerId};
+use crate::api::{Micros, Request, Rung, ServerId, Status};
 use crate::broker::{Description, History};
 
 /// An attempt that is out at a server, or on its way there.
@@ -32,6 +32,8 @@
     Waiting,
     /// Owed an answer, with one attempt out.
     Trying(Attempt),
+    /// Owed an answer; an attempt was given up for this reason, and its end is not written yet.
+    Withdrawing(Attempt, Status),
     /// Set up at a server.
     Standing(Placement),
 }
@@ -104,7 +106,7 @@
     /// The server that an attempt is out at, or that the session stands at.
     pub fn server(&self) -> Option<&ServerId> {
         match &self.stage {
-            Stage::Waiting => None,
+            Stage::Waiting | Stage::Withdrawing(..) => None,
             Stage::Trying(attempt) => Some(&attempt.server),
             Stage::Standing(placement) => Some(&placement.server),
         }
--- a/src/module/api/events.rs
+++ b/src/module/api/events.rs
@@ -58,6 +58,8 @@
         /// The server's report, if one came.
         load: Load,
     },
+    /// An attempt is given up, and its end is not written yet: no other can be sent before its outcome.
+    Withdrawing(SessionId),
     /// The viewer left, or its time is over.
     Gone(SessionId),
     /// A timer has run down.
--- a/src/module/brain/mod.rs
+++ b/src/module/brain/mod.rs
@@ -81,6 +81,7 @@
             Event::Outcome { id, server, status, closed, load, .. } => {
                 self.outcome(id, &server, (status, closed, load), out);
             }
+            Event::Withdrawing(id) => self.withdrawing(id),
             Event::Gone(id) => self.gone(id),
             Event::Timer(DEADLINE_TIMER) => self.answer_due(out),
             Event::Timer(_) => self.look(out),
--- a/src/module/brain/refusals.rs
+++ b/src/module/brain/refusals.rs
@@ -12,7 +12,8 @@
             Effect::Unsafe => false,
             Effect::Keyed { scope, .. } => scope == KeyScope::All,
         };
-        if s.phase == Phase::Held && (harmless || s.ran.is_none()) {
+        let held = s.phase == Phase::Held;
+        if harmless && (held || s.withdrawing) || held && s.ran.is_none() {
             out.push(Action::Refuse { id, retry_after: self.set.max_retry_after });
         } else {
             out.push(Action::Fail(id));
--- a/src/module/brain/retries.rs
+++ b/src/module/brain/retries.rs
@@ -42,6 +42,15 @@
         Micros::from_secs((aim_left.secs() * TRY_PART).max(self.book.setup_s * TRY_TIMES)).min(most)
     }
 
+    /// The end of an attempt is not written yet. Where second copies are not allowed the session waits for that, or for
+    /// its own time: a server that reads nothing may still set up what it was sent. May hurt while that server's
+    /// connection is stalled: it ends soon, and then the next attempt begins.
+    pub(super) fn withdrawing(&mut self, id: SessionId) {
+        if let Some(session) = self.book.sessions.get_mut(&id).filter(|s| s.phase == Phase::Setup) {
+            session.withdrawing = true;
+        }
+    }
+
     pub(super) fn outcome(
         &mut self,
         id: SessionId,
@@ -77,7 +86,7 @@
         if !status.never_ran() {
             s.ran = s.ran.or(Some((s.server, s.started)));
         }
-        s.phase = Phase::Held;
+        (s.phase, s.withdrawing) = (Phase::Held, false);
         let title = s.req.title.clone();
         let s = &self.book.sessions[&id];
         let spent = s.attempts >= self.set.max_attempts || !self.has_time(s);
--- a/src/module/brain/timers.rs
+++ b/src/module/brain/timers.rs
@@ -39,6 +39,7 @@
             Phase::Held if mutant::on(Mutant::ForgottenDeadline) => None,
             // No attempt of it can begin any more.
             Phase::Held => Some(self.last_start(s)),
+            Phase::Setup if s.withdrawing => Some(self.last_start(s)),
             // Its attempt ends by itself before this.
             Phase::Setup => Some(s.req.due - Micros(self.set.tick.0 * 2)),
             Phase::Playing | Phase::Done => None,
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Session {
     pub(crate) req: Request,
     pub(crate) phase: Phase,
+    /// Its attempt is given up, and the end of it is not written yet.
+    pub(crate) withdrawing: bool,
     pub(crate) arrived: Micros,
     pub(crate) started: Micros,
     pub(crate) server: usize,
--- a/src/mutant.rs
+++ b/src/mutant.rs
@@ -43,11 +43,13 @@
     FloorOfFirstAttempt,
     /// A process that was told to end takes the time that its work needs.
     LateDoors,
+    /// The end of an attempt counts as written once it is queued.
+    QueuedIsWritten,
 }
 
 impl Mutant {
     /// All of them, with the names they go by.
-    pub const ALL: [(&'static str, Mutant); 20] = [
+    pub const ALL: [(&'static str, Mutant); 21] = [
         ("no-drift", Mutant::NoDrift),
         ("from-receipt", Mutant::FromReceipt),
         ("no-second-look", Mutant::NoSecondLook),
@@ -68,6 +70,7 @@
         ("answered-twice", Mutant::AnsweredTwice),
         ("floor-of-first-attempt", Mutant::FloorOfFirstAttempt),
         ("late-doors", Mutant::LateDoors),
+        ("queued-is-written", Mutant::QueuedIsWritten),
     ];
 }
 
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -7,13 +7,14 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::net::sockopt::set_socket_linger;
 use tracing::info;
 
 use super::outbox::Outbox;
 use super::presence::{self, ended_with};
 use super::reading::{code, within};
 use super::room::Linked;
-use super::{Handle, micros, step};
+use super::{Handle, micros, step, tell_withdrawn};
 use crate::node::Front;
 use crate::platform::links::{Closed, ConnId};
 
@@ -89,10 +90,11 @@
                 Ok(0) => return "write-zero",
                 Ok(n) => {
                     let whole = outbox.written(n);
-                    if !whole.is_empty() {
+                    if !whole.sessions.is_empty() {
                         let now = shared.now();
-                        shared.node.borrow_mut().written_whole(now, conn, &whole);
+                        shared.node.borrow_mut().written_whole(now, conn, &whole.sessions);
                     }
+                    whole.withdrawals.iter().for_each(|id| tell_withdrawn(shared, conn, *id));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     // A client's answers are of use for as long as it waits.
@@ -155,6 +157,10 @@
             let _ = stream.get_ref().set_nodelay(true);
             step(&shared, |node, now, out| node.opened(now, conn, out));
             let reason = drive(&shared, conn, &stream, &outbox, Towards::Server).await;
+            if !outbox.empty() {
+                // What the machine holds would reach a slow server long after its end is taken as written.
+                let _ = set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
+            }
             // The server hears of the end before the next attempts leave.
             drop(stream);
             ended(&shared, conn, &peer, reason, ended_with(&outbox, reason));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -36,7 +36,7 @@
 use futures_lite::future;
 use tracing::info;
 
-use crate::api::Micros;
+use crate::api::{Micros, SessionId};
 use crate::board::Board;
 use crate::config::Config;
 use crate::node::Node;
@@ -146,6 +146,7 @@
     for line in lines {
         info!(event = "module", "{line}");
     }
+    let mut withdrawn = Vec::new();
     for command in commands {
         match command {
             Command::Dial(conn, address) => {
@@ -166,10 +167,12 @@
                 }
             }
             Command::Withdraw(conn, id, behind) => {
-                if let Some(outbox) = shared.boxes.borrow().get(&conn)
-                    && !outbox.withdraw(id)
-                {
-                    outbox.push_release(behind, id);
+                let outbox = shared.boxes.borrow().get(&conn).cloned();
+                match outbox {
+                    Some(outbox) if outbox.withdraw(id) => withdrawn.push((conn, id)),
+                    Some(outbox) => outbox.push_release(behind, id),
+                    // Its connection is over, and tells that itself.
+                    None => {}
                 }
             }
             Command::Close(conn, reason) => {
@@ -200,10 +203,20 @@
             handover.told(shared, messages);
         }
     }
+    withdrawn.into_iter().for_each(|(conn, id)| tell_withdrawn(shared, conn, id));
     shared.bell.ring();
     result
 }
 
+/// What a node is let do.
+type Act = Box<dyn FnOnce(&mut Node, Micros, &mut Vec<Command>)>;
+
+/// The end of an attempt is written on its connection, or the attempt never left.
+fn tell_withdrawn(shared: &Handle, conn: ConnId, id: SessionId) {
+    let act: Act = Box::new(move |node, now, out| node.withdrawn(now, conn, id, out));
+    step(shared, act);
+}
+
 async fn keep_time(shared: Handle) {
     loop {
         let wait = micros(shared.node.borrow().next_alarm() - shared.now());
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -2,6 +2,7 @@
 
 mod bell;
 mod piece;
+mod withdrawal;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -11,11 +12,20 @@
 use super::queues::{Allowance, Waiting};
 use crate::api::SessionId;
 pub use bell::Bell;
-use piece::Piece;
+use piece::{Mark, Piece};
 
 /// Pieces of one gathered write.
 const MOST_PIECES: usize = 64;
 
+/// What was written whole in one turn.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Written {
+    /// Set-ups, or answers.
+    pub sessions: Vec<SessionId>,
+    /// Ends of attempts that were given up.
+    pub withdrawals: Vec<SessionId>,
+}
+
 /// The bounded queue of one connection.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -88,12 +98,12 @@
 
     /// Queues a piece; a set-up's or an answer's is marked by its session.
     pub fn push(&self, bytes: Vec<u8>, tag: Option<SessionId>) {
-        self.push_piece(Piece { bytes, tag, end: false });
+        self.push_piece(Piece { bytes, mark: tag.map_or(Mark::Plain, Mark::Session) });
     }
 
     /// Queues the end of a session.
     pub fn push_end(&self, bytes: Vec<u8>) {
-        self.push_piece(Piece { bytes, tag: None, end: true });
+        self.push_piece(Piece { bytes, mark: Mark::SessionEnd });
     }
 
     fn push_piece(&self, piece: Piece) {
@@ -108,13 +118,17 @@
 
     /// Whether the next write may begin an answer or the end of a session.
     pub fn has_words_to_keep(&self) -> bool {
-        self.queue.borrow().iter().take(MOST_PIECES).any(|piece| piece.end || piece.tag.is_some())
+        self.queue
+            .borrow()
+            .iter()
+            .take(MOST_PIECES)
+            .any(|piece| matches!(piece.mark, Mark::SessionEnd | Mark::Session(_)))
     }
 
     /// Takes the ends of sessions that were not written whole.
     pub fn take_ends(&self) -> Vec<Vec<u8>> {
         let mut queue = self.queue.borrow_mut();
-        let ends = queue.iter_mut().filter(|piece| piece.end);
+        let ends = queue.iter_mut().filter(|piece| piece.mark == Mark::SessionEnd);
         ends.map(|piece| std::mem::take(&mut piece.bytes)).collect()
     }
 
@@ -122,38 +136,7 @@
     pub fn about_to_leave(&self) -> Vec<SessionId> {
         let begun = usize::from(self.offset.get() > 0);
         let queue = self.queue.borrow();
-        queue.iter().take(MOST_PIECES).skip(begun).filter_map(|piece| piece.tag).collect()
-    }
-
-    /// Takes a set-up back of which not a byte was written; false if there is none.
-    pub fn withdraw(&self, id: SessionId) -> bool {
-        let begun = usize::from(self.offset.get() > 0);
-        let mut queue = self.queue.borrow_mut();
-        let found = (begun..queue.len()).find(|i| queue[*i].tag == Some(id));
-        let Some(piece) = found.and_then(|i| queue.remove(i)) else { return false };
-        self.waiting.sub(piece.bytes.len());
-        // Where nothing else waits, a close that waited for it is due.
-        self.bell.ring();
-        true
-    }
-
-    /// Queues the release of a set-up that can't be taken back. It follows directly behind a set-up that is half
-    /// written, and overtakes those of others of which not a byte was written: until it is read the server plays for
-    /// nobody, and a further attempt elsewhere would be the second one out.
-    pub fn push_release(&self, bytes: Vec<u8>, id: SessionId) {
-        if bytes.is_empty() {
-            return;
-        }
-        self.waiting.add(bytes.len());
-        let begun = usize::from(self.offset.get() > 0);
-        let mut queue = self.queue.borrow_mut();
-        let half_written = begun == 1 && queue.front().is_some_and(|piece| piece.tag == Some(id));
-        let next_set_up = || (begun..queue.len()).find(|i| queue[*i].tag.is_some()).unwrap_or(queue.len());
-        let place = if half_written { begun } else { next_set_up() };
-        queue.insert(place, Piece { bytes, tag: None, end: false });
-        drop(queue);
-        self.cut_if_too_long();
-        self.bell.ring();
+        queue.iter().take(MOST_PIECES).skip(begun).filter_map(Piece::session).collect()
     }
 
     fn cut_if_too_long(&self) {
@@ -213,9 +196,9 @@
         write(&slices)
     }
 
-    /// So many bytes were written; gives the set-ups that were written whole with them.
-    pub fn written(&self, mut n: usize) -> Vec<SessionId> {
-        let mut whole = Vec::new();
+    /// So many bytes were written; gives what was written whole with them.
+    pub fn written(&self, mut n: usize) -> Written {
+        let mut whole = Written::default();
         let mut queue = self.queue.borrow_mut();
         self.wrote.set(self.wrote.get() || n > 0);
         self.waiting.sub(n);
@@ -224,7 +207,11 @@
             && n >= piece.bytes.len()
         {
             n -= piece.bytes.len();
-            whole.extend(queue.pop_front().and_then(|piece| piece.tag));
+            match queue.pop_front().map(|piece| piece.mark) {
+                Some(Mark::Session(id)) => whole.sessions.push(id),
+                Some(Mark::Withdrawal(id)) => whole.withdrawals.push(id),
+                Some(Mark::Plain | Mark::SessionEnd) | None => {}
+            }
         }
         self.offset.set(n);
         whole
@@ -233,12 +220,12 @@
     /// Set-ups of which not a byte was written.
     pub fn unsent(&self) -> Vec<SessionId> {
         let begun = usize::from(self.offset.get() > 0);
-        self.queue.borrow().iter().skip(begun).filter_map(|piece| piece.tag).collect()
+        self.queue.borrow().iter().skip(begun).filter_map(Piece::session).collect()
     }
 
     /// Marks of all that was not written whole.
     pub fn unfinished(&self) -> Vec<SessionId> {
-        self.queue.borrow().iter().filter_map(|piece| piece.tag).collect()
+        self.queue.borrow().iter().filter_map(Piece::session).collect()
     }
 }
 
--- a/src/net/outbox/piece.rs
+++ b/src/net/outbox/piece.rs
@@ -2,13 +2,32 @@
 
 use crate::api::SessionId;
 
+/// What a part is, as far as its fate matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Mark {
+    /// Nothing that is looked for again.
+    Plain,
+    /// The set-up of a session, or the answer that it stands.
+    Session(SessionId),
+    /// The end of an attempt that was given up.
+    Withdrawal(SessionId),
+    /// The end of a session, which is told elsewhere if it can't be told here.
+    SessionEnd,
+}
+
 /// What waits to be written as one.
 #[derive(Debug)]
 pub(super) struct Piece {
-    /// Its bytes.
     pub(super) bytes: Vec<u8>,
-    /// The set-up or the answer that it is.
-    pub(super) tag: Option<SessionId>,
-    /// It is the end of a session, which is told elsewhere if it can't be told here.
-    pub(super) end: bool,
+    pub(super) mark: Mark,
+}
+
+impl Piece {
+    /// The session whose set-up or answer it is.
+    pub(super) fn session(&self) -> Option<SessionId> {
+        match self.mark {
+            Mark::Session(id) => Some(id),
+            Mark::Plain | Mark::Withdrawal(_) | Mark::SessionEnd => None,
+        }
+    }
 }
--- a/src/net/outbox/tests.rs
+++ b/src/net/outbox/tests.rs
@@ -17,11 +17,11 @@
     outbox.push(vec![1; 10], Some(SessionId(1)));
     outbox.push(vec![2; 10], Some(SessionId(2)));
     assert_eq!(outbox.unsent(), [SessionId(1), SessionId(2)]);
-    assert!(outbox.written(1).is_empty());
+    assert!(outbox.written(1).sessions.is_empty());
     assert_eq!(outbox.unsent(), [SessionId(2)]);
-    assert_eq!(outbox.written(9), [SessionId(1)]);
+    assert_eq!(outbox.written(9).sessions, [SessionId(1)]);
     assert_eq!(outbox.unsent(), [SessionId(2)]);
-    assert_eq!(outbox.written(10), [SessionId(2)]);
+    assert_eq!(outbox.written(10).sessions, [SessionId(2)]);
     assert!(outbox.unsent().is_empty());
 }
 
@@ -48,7 +48,7 @@
     assert_eq!(outbox.about_to_leave(), [SessionId(2), SessionId(3)]);
     assert!(!outbox.withdraw(SessionId(1)), "it has begun");
     assert!(outbox.withdraw(SessionId(2)) && !outbox.withdraw(SessionId(2)));
-    assert_eq!(outbox.written(19), [SessionId(1), SessionId(3)]);
+    assert_eq!(outbox.written(19).sessions, [SessionId(1), SessionId(3)]);
     assert!(outbox.empty());
 }
 
@@ -76,7 +76,7 @@
     outbox.push_release(vec![102], SessionId(2));
     assert_eq!(gathered(&outbox), [2, 2, 102, 101, 3, 3, 3, 3]);
     assert_eq!(outbox.about_to_leave(), [SessionId(3)]);
-    assert_eq!(outbox.written(4), [SessionId(2)]);
+    assert_eq!(outbox.written(4).sessions, [SessionId(2)]);
     assert!(outbox.withdraw(SessionId(3)) && outbox.empty());
 }
 
@@ -100,6 +100,6 @@
     outbox.push_end(vec![3; 4]);
     assert!(outbox.has_words_to_keep());
     // The first was written whole, the second is no end, of the third a part was written.
-    assert!(outbox.written(10).is_empty());
+    assert_eq!(outbox.written(10), Written::default());
     assert_eq!(outbox.take_ends(), [vec![3; 4]]);
 }
--- a/src/node/connections.rs
+++ b/src/node/connections.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// The end of an attempt that was given up is written on its connection, or the attempt never left.
+    pub fn withdrawn(&mut self, now: Micros, conn: ConnId, id: SessionId, out: &mut Vec<Command>) {
+        if let Some(server) = self.links.withdrawn(now, conn, id) {
+            self.tell(now, Input::Withdrawn { id, server }, out);
+        }
+    }
+
     /// A connection has ended.
     pub fn closed(&mut self, now: Micros, conn: ConnId, how: &Closed, out: &mut Vec<Command>) {
         let unfinished = match how {
@@ -114,7 +121,12 @@
             self.pool.closed(now, conn, how, &mut told, out);
             return self.told(now, told, out);
         }
-        let Some(Broken { server, over, server_is }) = self.links.closed(now, conn, how) else { return };
+        let Some(Broken { server, over, withdrawn, server_is }) = self.links.closed(now, conn, how) else {
+            return;
+        };
+        for id in withdrawn {
+            self.tell(now, Input::Withdrawn { id, server: server.clone() }, out);
+        }
         for (id, status) in over {
             let load = Load::default();
             self.tell(now, Input::Over { id, server: server.clone(), status, load }, out);
--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -122,7 +122,7 @@
                 self.whip(now, out, |whip, _, wishes| whip.over(now, id, true, wishes));
             }
             Effect::SetUp(set_up) => self.send(now, &set_up, out),
-            Effect::GiveUp(id, _) if self.pool.holds(id) => self.pool.give_up(now, id, out),
+            Effect::GiveUp(id, server) => self.give_up(now, id, server, out),
             Effect::Cut(id, _) if self.pool.holds(id) => self.pool.release(now, id, out),
             Effect::Rate(id, server, rung) => {
                 if self.pool.holds(id) {
@@ -134,7 +134,6 @@
                     self.whip(now, out, |whip, _, wishes| whip.rated(id, rung, wishes));
                 }
             }
-            Effect::GiveUp(id, server) => self.links.give_up(now, id, &server, out),
             Effect::Cut(id, server) => self.links.release(now, id, &server, out),
             Effect::Plays(id, description) => {
                 let home = self.answered(now, id);
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 use crate::broker::{Input, SetUp};
 use crate::edge::Told;
-use crate::platform::links::{Command, Heard, status};
+use crate::platform::links::{Command, Heard, Withdrawal, status};
 use crate::roster::News;
 
 impl Node {
@@ -151,6 +151,19 @@
         self.tell(now, input, out);
     }
 
+    /// Gives an attempt up. Media servers that speak WHIP know no such word: what they answer late is ended then.
+    pub(super) fn give_up(&mut self, now: Micros, id: SessionId, server: ServerId, out: &mut Vec<Command>) {
+        let withdrawal = if self.pool.holds(id) {
+            self.pool.give_up(now, id, out);
+            Withdrawal::Done
+        } else {
+            self.links.give_up(now, id, &server, out)
+        };
+        if withdrawal == Withdrawal::Done {
+            self.tell(now, Input::Withdrawn { id, server }, out);
+        }
+    }
+
     pub(super) fn send(&mut self, now: Micros, set_up: &SetUp, out: &mut Vec<Command>) {
         let class = self.names.classes.get(set_up.class).cloned().unwrap_or_default();
         if let Some(tracer) = &mut self.tracer {
--- a/src/platform/links.rs
+++ b/src/platform/links.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod link;
+mod withdrawal;
 mod words;
 mod writing;
 
@@ -12,6 +13,7 @@
 use crate::api::{Micros, Note, ServerId, ServerState, SessionId, Status};
 use crate::message::cause;
 use link::Link;
+pub use withdrawal::Withdrawal;
 pub use words::{Broken, Closed, Command, Heard, Server};
 
 /// A connection, counted from the start of the program.
@@ -33,6 +35,8 @@
     checked: BTreeMap<ServerId, Micros>,
     /// Sessions whose last attempt ended just now, and when.
     ended: BTreeMap<SessionId, Micros>,
+    /// Attempts that were given up and whose end is not written yet, with their connections.
+    withdrawals: BTreeMap<SessionId, ConnId>,
     next: u64,
     timings: Timings,
     /// When the last note on a link's load came, of any server.
@@ -57,8 +61,9 @@
         let (addresses, at) = (BTreeMap::new(), BTreeMap::new());
         let (links, alive) = (BTreeMap::new(), BTreeMap::new());
         let (reset, checked, ended) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        let withdrawals = BTreeMap::new();
         let (next, noted) = (0, Micros(0));
-        Links { addresses, at, links, alive, reset, checked, ended, next, timings, noted }
+        Links { addresses, at, links, alive, reset, checked, ended, withdrawals, next, timings, noted }
     }
 
     /// Notes where a server listens. Gives the server that had the address before, which is lost: a new server
--- a/src/platform/links/ends.rs
+++ b/src/platform/links/ends.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::writing::APART;
+use super::withdrawal::APART;
 use super::{Broken, Closed, Command, ConnId, Links, Server};
 use crate::api::{Micros, ServerId, SessionId, Status};
 use crate::platform::timings::Timings;
@@ -30,7 +30,8 @@
         };
         let over: Vec<(SessionId, Status)> = link.set_ups.keys().copied().map(ended).collect();
         let ran = over.iter().filter(|(_, status)| *status == Status::Reset);
-        self.ended.extend(ran.map(|(id, _)| (*id, now)));
+        ran.for_each(|(id, _)| self.attempt_ended(now, *id));
+        let withdrawn = self.withdrawn_with(now, conn);
         let open = self.links.values().any(|l| l.server == link.server && l.up());
         let unheard = self.unheard(now, &link.server);
         // A server that has nothing to say may answer the end of a connection that was left with a reset.
@@ -50,7 +51,7 @@
             Closed::Ended { .. } if open => Server::Up,
             Closed::Ended { .. } => Server::Unsure,
         };
-        Some(Broken { server: link.server, over, server_is })
+        Some(Broken { server: link.server, over, withdrawn, server_is })
     }
 
     /// Servers, of those given, that have been silent for too long. All write their notes at the same time: where
--- a/src/platform/links/words.rs
+++ b/src/platform/links/words.rs
@@ -15,7 +15,8 @@
     Write(ConnId, Vec<u8>, Option<SessionId>),
     /// Write the end of a session, which its client has to hear of: see [`crate::node::Node::ends_returned`].
     WriteEnd(ConnId, Vec<u8>),
-    /// Take a set-up back if not a byte of it was written; else write this behind it.
+    /// Take a set-up back if not a byte of it was written; else write this behind it. Unless it is empty,
+    /// [`crate::node::Node::withdrawn`] is to be told once either is done.
     Withdraw(ConnId, SessionId, Vec<u8>),
     /// Write out what is queued, then close, leaving a log line with this reason.
     Close(ConnId, &'static str),
@@ -66,6 +67,8 @@
     pub server: ServerId,
     /// How each set-up that was open on it ended.
     pub over: Vec<(SessionId, Status)>,
+    /// Set-ups that had been given up on it and whose end was not written.
+    pub withdrawn: Vec<SessionId>,
     /// What it tells of the server and all that stands there.
     pub server_is: Server,
 }
--- a/src/platform/links/writing.rs
+++ b/src/platform/links/writing.rs
@@ -7,10 +7,6 @@
 use crate::message::binary::{Builder, code};
 use crate::message::{Kind, cause};
 
-/// Time between the end of one attempt and the next of the same session elsewhere. They travel on different
-/// connections: without it the second can be read before the end of the first, and two are out at once.
-pub(super) const APART: Micros = Micros(5_000);
-
 impl Links {
     pub(super) fn write(
         &mut self,
@@ -23,13 +19,12 @@
         let Some(conn) = self.usable(now, server).or_else(|| self.dial(now, server, out)) else {
             return false;
         };
+        let after = set_up.map_or(Micros(0), |id| self.may_leave_from(id));
         let Some(link) = self.links.get_mut(&conn) else { return false };
         link.used = now;
         if let Some(id) = set_up {
             link.set_ups.insert(id, now);
         }
-        let ended = set_up.and_then(|id| self.ended.get(&id));
-        let after = ended.map_or(Micros(0), |at| *at + APART);
         if link.open && after <= now {
             out.push(Command::Write(conn, bytes, set_up));
         } else {
@@ -70,29 +65,6 @@
         out.push(Command::Withdraw(conn, id, Vec::new()));
     }
 
-    /// Gives a set-up up. One that waits for its connection is taken back and never leaves.
-    pub fn give_up(&mut self, now: Micros, id: SessionId, server: &ServerId, out: &mut Vec<Command>) {
-        let own = |(_, l): &(&ConnId, &mut Link)| l.server == *server && l.set_ups.contains_key(&id);
-        let Some((conn, link)) = self.links.iter_mut().find(own) else { return };
-        let written = link.set_ups.remove(&id);
-        let queued = link.queue.len();
-        link.queue.retain(|queued| queued.set_up != Some(id));
-        if link.queue.len() < queued {
-            return;
-        }
-        // Not a byte since: a fresh connection shall tell whether the server can be reached at all.
-        if written.is_some_and(|at| link.heard < at) {
-            link.suspect = true;
-        }
-        // On the set-up's own connection, behind it: anywhere else it could come later than the next attempt
-        // elsewhere, and two would be out at once.
-        if let Ok(bytes) = Builder::new(Kind::Release, id).cause(cause::NORMAL).finish() {
-            link.used = now;
-            out.push(Command::Withdraw(*conn, id, bytes));
-        }
-        self.ended.insert(id, now);
-    }
-
     /// Descriptors are short: the connection goes that was used the longest ago, of those that nothing is set up on
     /// and that lead to a server that is not `busy`.
     pub fn spare(&mut self, busy: impl Fn(&ServerId) -> bool, out: &mut Vec<Command>) {
--- a/src/trace/events.rs
+++ b/src/trace/events.rs
@@ -103,6 +103,13 @@
         /// Time since the set-up went out, ms.
         took_ms: u64,
     }
+    /// The end of an attempt that was given up is written, or its connection is over: the next one may begin.
+    "session.withdrawn" Withdrawn {
+        /// The session.
+        id: String,
+        /// The server.
+        server: String,
+    }
     /// Final answer: it plays.
     "session.plays" Plays {
         /// The session.
--- a/src/trace/tests.rs
+++ b/src/trace/tests.rs
@@ -39,6 +39,7 @@
         Event::Failed { id: id.clone(), reason: w.clone(), attempts: 4, took_ms: n },
         Event::Opened { id: id.clone(), title: w.clone(), server: w.clone() },
         Event::Released { id: id.clone(), server: w.clone() },
+        Event::Withdrawn { id: id.clone(), server: w.clone() },
         Event::ReplyQueued { id: id.clone(), conn: n },
         Event::ReplyWritten { id: id.clone(), conn: n },
         Event::ReplyDropped { id: id.clone() },
--- a/src/trace/tracer.rs
+++ b/src/trace/tracer.rs
@@ -78,6 +78,9 @@
                 self.heard(now, server);
                 self.note(now, server, *note);
             }
+            Input::Withdrawn { id, server } if self.sessions.contains_key(id) => {
+                self.push(now, Event::Withdrawn { id: named(*id), server: server.to_string() });
+            }
             Input::Left(id) => self.over(now, *id, None),
             Input::Open(request, server) => self.opened(now, request, server),
             _ => {}
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -34,6 +34,15 @@
     fn tell(&mut self, input: Input) -> Vec<Effect> {
         let mut out = Vec::new();
         self.broker.handle(self.now, input, &mut out);
+        let mut told = 0;
+        // The end of an attempt is written at once here.
+        while told < out.len() {
+            if let Effect::GiveUp(id, server) = &out[told] {
+                let written = Input::Withdrawn { id: *id, server: server.clone() };
+                self.broker.handle(self.now, written, &mut out);
+            }
+            told += 1;
+        }
         out
     }
 
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -149,7 +149,10 @@
                     self.edge_reads(conn, &bytes, tag)
                 }
                 // Here a set-up is on its way as soon as it was written.
-                Command::Withdraw(conn, _, behind) => self.edge_reads(conn, &behind, None),
+                Command::Withdraw(conn, id, behind) => {
+                    self.edge_reads(conn, &behind, None);
+                    self.step(|node, now, out| node.withdrawn(now, conn, id, out));
+                }
                 Command::Write(conn, bytes, tag) => self.client_reads(conn, &bytes, tag),
                 Command::WriteEnd(conn, bytes) => self.client_reads(conn, &bytes, None),
                 Command::Close(conn, _)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -56,11 +56,25 @@
         let end = self.now + Micros(ms * 1000);
         while self.node.next_alarm() <= end {
             self.now = self.now.max(self.node.next_alarm());
+            let before = self.out.len();
             self.node.tick(self.now, &mut self.out);
+            self.write_withdrawals(before);
         }
         self.now = end;
     }
 
+    /// Ends of attempts among the commands from there on are written at once.
+    fn write_withdrawals(&mut self, from: usize) {
+        let withdrawal = |command: &Command| match command {
+            Command::Withdraw(conn, id, _) => Some((*conn, *id)),
+            _ => None,
+        };
+        let withdrawals: Vec<(ConnId, SessionId)> = self.out[from..].iter().filter_map(withdrawal).collect();
+        for (conn, id) in withdrawals {
+            self.node.withdrawn(self.now, conn, id, &mut self.out);
+        }
+    }
+
     /// Connections that were asked for since the last call.
     fn dials(&mut self) -> Vec<ConnId> {
         let dial = |c: &Command| if let Command::Dial(conn, _) = c { Some(*conn) } else { None };
