--- a/src/module/brain/ending.rs
+++ b/src/module/brain/ending.rs
@@ -4,8 +4,8 @@
 
 /// A set-up of a class that may be repeated is begun if so many times its usual time are left.
 const REPEATABLE_TIMES: f64 = 3.0;
-/// A set-up that must not happen twice may take as long as its class wants it within, but never more than this part of
-/// the time that the front had when it was told.
+/// A set-up that must not happen twice may take as long as its class wants it within, but no more than this
+/// part of the time that the front had when it was told.
 const ONCE_PART: u64 = 2;
 
 impl Brain {
@@ -22,9 +22,9 @@
         self.answer_due(out);
     }
 
-    /// Whether a new request is taken on. Where the front ends before the request's own time, a request that may well
-    /// not be answered by then is refused at once, while it is sure that nothing ran. May hurt when another process
-    /// would not be quicker.
+    /// Whether a new request is taken on. Where the front ends before the request's own time, a request that
+    /// may well not be answered by then is refused at once, while it is sure that nothing ran. May hurt when
+    /// another process would not be quicker.
     pub(super) fn takes_on(&self, id: SessionId) -> bool {
         let (Some(end), Some(session)) = (self.book.end, self.book.sessions.get(&id)) else { return true };
         let left = end.answer_by - self.book.now;
--- a/src/module/brain/retries.rs
+++ b/src/module/brain/retries.rs
@@ -42,9 +42,9 @@
         Micros::from_secs((aim_left.secs() * TRY_PART).max(self.book.setup_s * TRY_TIMES)).min(most)
     }
 
-    /// The end of an attempt is not written yet. Where second copies are not allowed the session waits for that, or for
-    /// its own time: a server that reads nothing may still set up what it was sent. May hurt while that server's
-    /// connection is stalled: it ends soon, and then the next attempt begins.
+    /// The end of an attempt is not written yet. Where second copies are not allowed the session waits for
+    /// that, or for its own time: a server that reads nothing may still set up what it was sent. May hurt
+    /// while that server's connection is stalled: it ends soon, and then the next attempt begins.
     pub(super) fn withdrawing(&mut self, id: SessionId) {
         if let Some(session) = self.book.sessions.get_mut(&id).filter(|s| s.phase == Phase::Setup) {
             session.withdrawing = true;
