Fail a paid request that comes again under its id after an attempt of it may have run

A paid set-up is out, its client's connection is reset, the request is withdrawn and forgotten, and the client sends it once more under its id: it was set up a second time. The core remembers attempts that were given up for 30 s already (late answers); a request whose id is among them counts as one that may have run. What may be repeated is sent again as before. The test fails without the change.

--- a/src/broker/late.rs
+++ b/src/broker/late.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Whether an attempt of a session was given up lately.
+    pub fn knows(&self, now: Micros, id: SessionId) -> bool {
+        let of_session = self.until.range((id, ServerId::default())..);
+        of_session.take_while(|((of, _), _)| *of == id).any(|(_, until)| now < *until)
+    }
+
     /// An answer has come that nobody waits for; gives whether it is to such an attempt. It is forgotten.
     pub fn came(&mut self, now: Micros, id: SessionId, server: &ServerId) -> bool {
         self.until.remove(&(id, server.clone())).is_some_and(|until| now < until)
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -34,7 +34,10 @@
         }
         let backstop = Alarm::DeadlineBackstop(request.id);
         self.alarms.schedule(request.due + BACKSTOP_DELAY, backstop);
-        self.sessions.insert(Session::waiting(now, request.clone(), offer));
+        let mut session = Session::waiting(now, request.clone(), offer);
+        // A client that lost its connection may send its request once more under its id.
+        session.history.may_have_run = self.late.knows(now, request.id);
+        self.sessions.insert(session);
         self.events.push_back(Event::Request(request));
     }
 
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -319,6 +319,29 @@
     assert!(panics > 10 && answered.len() > 200, "{panics} {}", answered.len());
 }
 
+/// Guards against a paid set-up that runs twice because its client's connection was reset and it was sent again.
+#[test]
+fn a_paid_request_sent_again_under_its_id_after_it_may_have_run_is_not_set_up_again() {
+    let mut core = Core::new(3);
+    let first = sent(&core.ask(1, PAID)).remove(0);
+    assert_eq!(core.tell(Input::Left(SessionId(1))), [Effect::GiveUp(SessionId(1), first.server)]);
+    let mut out = core.ask(1, PAID);
+    out.extend(core.pass(ms(3000)));
+    assert!(sent(&out).is_empty(), "it was set up again");
+    assert!(matches!(answers(&out)[..], [Effect::Failed(SessionId(1), why)] if why.may_have_run));
+    // What may be repeated is, and so is what never ran.
+    sent(&core.ask(2, CLIP));
+    core.tell(Input::Left(SessionId(2)));
+    assert_eq!(sent(&core.ask(2, CLIP)).len(), 1);
+    core.tell(Input::Left(SessionId(2)));
+    let mut none = Core::new(0);
+    none.ask(3, PAID);
+    none.tell(Input::Left(SessionId(3)));
+    let mut again = none.ask(3, PAID);
+    again.extend(none.pass(ms(3000)));
+    assert!(matches!(answers(&again)[..], [Effect::Refused(SessionId(3), _)]));
+}
+
 /// Seen on days with bad peers: answers come twice, or under ids that nobody asked for. Each was answered with a
 /// release, which ends the session of that id wherever it stands.
 #[test]
