--- a/src/board.rs
+++ b/src/board.rs
@@ -1,6 +1,8 @@
 //! The notice board: numbered events that change the list of servers, read as server-sent events. A state
 //! machine of bytes; the driver opens the connection and keeps the time.
 
+mod patience;
+
 use std::fmt;
 use std::net::Ipv4Addr;
 
@@ -9,6 +11,7 @@
 use crate::api::{ListKind, Micros, ServerEntry, ServerId, ServerState};
 use crate::http::{HttpError, client, sse};
 use crate::roster::{Listed, Names, News};
+use patience::Patience;
 
 /// A comment comes each second: a board that says nothing for so long is asked anew.
 pub const SILENCE: Micros = Micros(2_500_000);
@@ -64,12 +67,13 @@
     /// Askings since an event was taken in that found one missing or broken.
     troubled: u32,
     stream: Option<sse::Stream>,
+    patience: Patience,
 }
 
 impl Board {
     /// Takes in the events of the start.
     pub fn new(names: Names, known: &Value) -> (Board, Vec<News>) {
-        let mut board = Board { names, last: 0, troubled: 0, stream: None };
+        let mut board = Board { names, last: 0, troubled: 0, stream: None, patience: Patience::default() };
         let news = board.take(known, true);
         board.last = known.get("rev").and_then(Value::as_u64).unwrap_or(board.last);
         (board, news)
@@ -92,8 +96,14 @@
         self.last
     }
 
+    /// The connection is given up if nothing that is whole comes by then.
+    pub fn awaited_until(&self) -> Micros {
+        self.patience.until()
+    }
+
     /// What to write on a fresh connection.
-    pub fn request(&mut self, host: &str) -> Vec<u8> {
+    pub fn request(&mut self, now: Micros, host: &str) -> Vec<u8> {
+        self.patience.begin(now);
         self.stream = Some(sse::Stream::default());
         let last = self.last.to_string();
         let headers = [("Accept", "text/event-stream"), ("Last-Event-ID", last.as_str())];
@@ -102,10 +112,11 @@
 
     /// Takes bytes of the connection in and hands over what is new, also before an error, which ends the
     /// connection: the board is then asked again from the last event that was read.
-    pub fn bytes(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BoardError> {
+    pub fn bytes(&mut self, now: Micros, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BoardError> {
         let Some(stream) = &mut self.stream else { return Ok(()) };
         let mut whole = Vec::new();
         let read = stream.feed(bytes, &mut whole);
+        self.patience.heard(now, stream.progress());
         for event in whole {
             let number = event.id.and_then(|id| id.trim().parse().ok());
             let value = serde_json::from_str::<Value>(&event.data).unwrap_or(Value::Null);
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -14,12 +14,26 @@
     pub data: String,
 }
 
+/// How far a stream of events has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Things that came whole: the head, events, and comments between events.
+    pub whole: u64,
+    /// Events among them.
+    pub events: u64,
+    /// Bytes that came since.
+    pub pending: usize,
+}
+
 /// Finds events in a stream of bytes.
 #[derive(Debug, Default)]
 pub struct Decoder {
     buffer: Vec<u8>,
     event: Event,
     filled: bool,
+    /// A field of the event was read.
+    begun: bool,
+    progress: Progress,
 }
 
 impl Decoder {
@@ -27,15 +41,24 @@
     /// fields are skipped.
     pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), HttpError> {
         self.buffer.extend_from_slice(bytes);
+        self.progress.pending += bytes.len();
         let mut at = 0;
         while let Some(end) = self.buffer[at..].iter().position(|b| *b == b'\n') {
             let line = &self.buffer[at..at + end];
             let line = std::str::from_utf8(line).map_err(|_| HttpError::BadBody)?;
             let line = line.strip_suffix('\r').unwrap_or(line);
             at += end + 1;
+            let comment = line.starts_with(':');
+            self.begun |= !comment && !line.is_empty();
+            if line.is_empty() || comment && !self.begun {
+                self.begun = false;
+                self.progress.whole += 1;
+                self.progress.pending = self.buffer.len() - at;
+            }
             if line.is_empty() {
                 let event = std::mem::take(&mut self.event);
                 if std::mem::take(&mut self.filled) {
+                    self.progress.events += 1;
                     events.push(event);
                 }
                 continue;
@@ -69,6 +92,8 @@
 pub struct Stream {
     reader: client::Reader,
     events: Decoder,
+    /// Bytes of a head that is not whole yet.
+    head: usize,
 }
 
 impl Stream {
@@ -77,10 +102,18 @@
     pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), HttpError> {
         let mut body = Vec::new();
         let read = self.reader.feed(bytes, &mut body);
+        self.head = if self.reader.status().is_none() { self.head + bytes.len() } else { 0 };
         if self.reader.status().is_some_and(|status| status != 200) {
             return Err(HttpError::BadHead);
         }
         let told = self.events.feed(&body, events);
         read.and(told)
     }
+
+    /// How far it has come.
+    pub fn progress(&self) -> Progress {
+        let Progress { whole, events, pending } = self.events.progress;
+        let head = u64::from(self.reader.status().is_some());
+        Progress { whole: whole + head, events, pending: pending + self.head }
+    }
 }
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -48,22 +48,25 @@
     let connected =
         within(micros(shared.timings.get().board_connect), Async::<TcpStream>::connect(address)).await?;
     let stream = Rc::new(connected);
-    let request = shared.board.borrow_mut().request(&address.to_string());
+    let request = shared.board.borrow_mut().request(shared.now(), &address.to_string());
     within(micros(board::SILENCE), (&*stream).write_all(&request)).await?;
     shared.board_over.set(None);
     *shared.board_stream.borrow_mut() = Some(stream.clone());
     loop {
-        // What was heard out before a set-up counts too: the board is silent only if nothing came in either way.
-        let heard = shared.board_heard.get();
-        match within(micros(board::SILENCE), stream.readable()).await {
+        // What was heard out before a set-up counts too: the wait is for what is whole, however it was heard.
+        let until = shared.board.borrow().awaited_until();
+        match within(micros(until - shared.now()), stream.readable()).await {
             Ok(()) => {}
-            Err(_) if shared.board_heard.get() != heard => {}
+            Err(_) if shared.board.borrow().awaited_until() > until => {}
             Err(error) => return Err(error),
         }
         hear_out(shared);
         if let Some(reason) = shared.board_over.take() {
             return Ok(reason);
         }
+        if shared.now() >= shared.board.borrow().awaited_until() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
     }
 }
 
@@ -74,7 +77,6 @@
         return;
     }
     let gone = read_now(shared, &stream, |bytes| {
-        shared.board_heard.set(shared.board_heard.get() + 1);
         hear(shared, bytes).inspect_err(|error| shared.board_over.set(Some(error.code()))).is_ok()
     });
     if let Some(reason) = gone {
@@ -84,7 +86,7 @@
 
 fn hear(shared: &Handle, bytes: &[u8]) -> Result<(), BoardError> {
     let mut news = Vec::new();
-    let read = shared.board.borrow_mut().bytes(bytes, &mut news);
+    let read = shared.board.borrow_mut().bytes(shared.now(), bytes, &mut news);
     for news in news {
         files::hear(shared, Source::Board, news);
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,8 +57,7 @@
     /// Clients' connections, to be read before anything is sent on their behalf; and the notice board's.
     clients: RefCell<BTreeMap<ConnId, Rc<Async<TcpStream>>>>,
     board_stream: RefCell<Option<Rc<Async<TcpStream>>>>,
-    /// Counts what the board has said; why its connection is over, until that is seen to.
-    board_heard: Cell<u64>,
+    /// Why the board's connection is over, until that is seen to.
     board_over: Cell<Option<&'static str>>,
     clock: Clock,
     bell: Bell,
@@ -102,7 +101,6 @@
             boxes: RefCell::new(BTreeMap::new()),
             clients: RefCell::default(),
             board_stream: RefCell::default(),
-            board_heard: Cell::default(),
             board_over: Cell::default(),
             clock: Clock::default(),
             bell: Bell::default(),
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use amberspindle::api::Micros;
 use amberspindle::board::{Board, BoardError};
 use amberspindle::roster::{Names, News};
 use serde_json::{Value, json};
@@ -23,11 +24,11 @@
 
 /// Asks the board anew and lets it say so much.
 fn hear(board: &mut Board, body: &str) -> (Vec<String>, Result<(), BoardError>) {
-    let asked = String::from_utf8(board.request("h")).unwrap();
+    let asked = String::from_utf8(board.request(Micros(0), "h")).unwrap();
     assert!(asked.contains(&format!("Last-Event-ID: {}\r\n", board.last())));
     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n";
     let mut news = Vec::new();
-    let read = board.bytes(format!("{head}{body}").as_bytes(), &mut news);
+    let read = board.bytes(Micros(0), format!("{head}{body}").as_bytes(), &mut news);
     let named = |n: &News| n.servers.iter().map(|s| s.entry.id.to_string()).collect::<Vec<_>>().join(",");
     (news.iter().map(named).collect(), read)
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -152,7 +152,7 @@
             (binary::Decoder::default(), Viewer::default(), server::Decoder::default());
         let (mut reader, mut events) = (client::Reader::default(), sse::Decoder::default());
         let (mut board, _) = Board::new(Names::default(), &serde_json::Value::Null);
-        board.request("h");
+        board.request(Micros(0), "h");
         let mut links = Links::new(Timings::new(&settings, Micros(1), Micros(1)));
         cut(&bytes, &cuts, |piece| {
             packets.feed(piece);
@@ -171,7 +171,7 @@
             let mut body = Vec::new();
             let _ = reader.feed(piece, &mut body);
             let _ = events.feed(piece, &mut Vec::new());
-            let _ = board.bytes(piece, &mut Vec::new());
+            let _ = board.bytes(Micros(0), piece, &mut Vec::new());
             let heard = links.bytes(Micros(5), ConnId(1), piece, &mut Vec::new()).1;
             assert!(heard.is_empty(), "an unknown connection says nothing");
         });
