Let a connection go 4 s into a drain though its client never pauses

From 1.8 s after the call on, requests on open connections are refused at once, as never sent on, and connections go as soon as nothing is open on them.

--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -24,8 +24,8 @@
             let class = (named(&self.names.classes, request.class), most);
             tracer.asked(now, &request, class, named(&self.names.tenants, request.tenant));
         }
-        if self.phase.closed() {
-            // Nothing of it was sent on, and this process ends: another one takes it.
+        if self.phase.turns_away(now) {
+            // Nothing of it was sent on, and this process ends or drains: another one takes it.
             return self.carry_out(now, Effect::Refused(request.id, Micros(0)), out);
         }
         if let Err(wait) = self.let_through(now, &request) {
--- a/src/operate/phase.rs
+++ b/src/operate/phase.rs
@@ -10,6 +10,9 @@
 const QUIET: Micros = Micros(150_000);
 /// The same once another process serves: whoever comes again is served there at once, so that the sooner the better.
 const QUIET_YIELDED: Micros = Micros(20_000);
+/// A broker that drains takes requests on open connections for so long: 4 s after the call it may hold none that brought a
+/// request in the last 2 s (the same page), and clients need a moment to close too.
+const DRAIN_TAKES: Micros = Micros(1_800_000);
 /// A connection that never said anything has so long: its first request may be under way.
 const FIRST_WORD: Micros = Micros(1_000_000);
 /// A process that has no list says no for so long at most: nine in ten are to be ready within 10 s of their start.
@@ -79,11 +82,16 @@
         self.closed = true;
     }
 
-    /// Whether what comes is turned away.
+    /// Whether the process turns away what comes, as it ends.
     pub fn closed(&self) -> bool {
         self.closed
     }
 
+    /// Whether a request that comes now is turned away: the process ends, or it has drained for long enough.
+    pub fn turns_away(&self, now: Micros) -> bool {
+        self.closed || self.draining.is_some_and(|at| now >= at + DRAIN_TAKES)
+    }
+
     /// A process without any list can serve nobody: it is not ready until one has come, or until its source has been
     /// out of reach for so long that requests are better refused here than kept away from all processes.
     pub fn awaits_list(&mut self, now: Micros) {
@@ -150,6 +158,8 @@
     /// answered), and whether it ever said anything.
     pub fn lets_go(&self, now: Micros, used: Micros, spoke: bool) -> bool {
         let quiet = match (spoke, self.yielded) {
+            // Nothing is taken any more: clients that ask without a pause are let go too.
+            _ if self.turns_away(now) => Micros(0),
             (false, _) => FIRST_WORD,
             (true, true) => QUIET_YIELDED,
             (true, false) => QUIET,
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -162,3 +162,28 @@
     program.logged("stopped");
     assert!(begun.elapsed() < Duration::from_secs(60));
 }
+
+/// Guards against a drain that clients without a pause put off for good (report c7ba89, related finds): 4 s after the
+/// call no connection may be held that brought a request in the last 2 s.
+#[test]
+fn a_drain_lets_a_connection_go_that_is_never_quiet() {
+    let edge = Edge::start(Manner::Answers);
+    let more = json!({"console": "127.0.0.1:0", "settings": settings(LONG)});
+    let program = Program::platform_more(&[&edge], LONG, &more, &["viewer", "console"]);
+    let asking = askers::Manner {
+        class: "clip",
+        deadline_ms: 2_000,
+        pause: Duration::from_millis(20),
+        extras: "home:0;copies:3;top:1",
+    };
+    let askers = askers::Askers::start_once(program.fronts["viewer"], 4, &asking);
+    std::thread::sleep(Duration::from_millis(300));
+    let called = Instant::now();
+    assert!(program.call("drain-on\n").starts_with("SUCCESS"));
+    std::thread::sleep(Duration::from_secs(4) - called.elapsed());
+    assert_eq!(
+        program.call("vars\n").lines().find(|l| l.contains("client_connections")),
+        Some("broker.client_connections=0")
+    );
+    assert!(askers::lost(&askers.end(), &[&edge]).is_empty());
+}
--- a/tests/support/askers.rs
+++ b/tests/support/askers.rs
@@ -56,12 +56,21 @@
 }
 
 impl Askers {
-    /// Starts so many clients of an address.
+    /// Starts so many clients of an address, which come again when their connection ends.
     pub fn start(address: SocketAddr, clients: u64, manner: &Manner) -> Askers {
+        Askers::start_with(address, clients, manner, true)
+    }
+
+    /// Starts so many clients of an address, which have one connection each.
+    pub fn start_once(address: SocketAddr, clients: u64, manner: &Manner) -> Askers {
+        Askers::start_with(address, clients, manner, false)
+    }
+
+    fn start_with(address: SocketAddr, clients: u64, manner: &Manner, again: bool) -> Askers {
         let goes_on = Arc::new(AtomicBool::new(true));
         let start = |n: u64| {
             let (goes_on, manner) = (goes_on.clone(), manner.clone());
-            std::thread::spawn(move || Client::new(address, n, manner).live(&goes_on))
+            std::thread::spawn(move || Client::new(address, n, manner, again).live(&goes_on))
         };
         Askers { threads: (1..=clients).map(start).collect(), goes_on }
     }
@@ -76,6 +85,8 @@
 struct Client {
     address: SocketAddr,
     manner: Manner,
+    /// Whether it connects once more when its connection has ended.
+    again: bool,
     next: u64,
     stream: Option<TcpStream>,
     heard: Vec<u8>,
@@ -85,9 +96,9 @@
 }
 
 impl Client {
-    fn new(address: SocketAddr, number: u64, manner: Manner) -> Client {
+    fn new(address: SocketAddr, number: u64, manner: Manner, again: bool) -> Client {
         let (open, asked) = (Vec::new(), BTreeMap::new());
-        Client { address, manner, next: number << 32, stream: None, heard: Vec::new(), open, asked }
+        Client { address, manner, again, next: number << 32, stream: None, heard: Vec::new(), open, asked }
     }
 
     fn live(mut self, goes_on: &AtomicBool) -> BTreeMap<u64, Asked> {
@@ -111,7 +122,7 @@
     }
 
     fn connected(&mut self) -> bool {
-        if self.stream.is_none() {
+        if self.stream.is_none() && (self.again || self.asked.is_empty()) {
             self.stream = TcpStream::connect(self.address).ok();
             if let Some(stream) = &self.stream {
                 stream.set_nodelay(true).unwrap();
