Keep 30 s for the end of a broker that serves no clients of the platform; divide run.rs

It has the 30 s that process managers wait by custom, as before. The function that starts a process (120 lines) is divided by what it opens; moves only.

--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -11,7 +11,7 @@
 use super::outbox::Bell;
 use super::{Handle, step};
 use crate::node::{HeldRequest, Remaining};
-use crate::operate::planned_end::{Left, PlannedEnd, Step};
+use crate::operate::planned_end::{Killer, Left, PlannedEnd, Step};
 
 /// Time between two looks at what is left.
 const LOOK: Duration = Duration::from_millis(10);
@@ -23,6 +23,8 @@
 
 /// What is to end.
 pub(super) struct Ending {
+    /// Clients of the platform are served.
+    pub(super) platform: bool,
     /// The processes before and after this one.
     pub(super) handover: Option<Rc<Handover>>,
     /// Tasks that accept connections, and the bells that tell them of the last call.
@@ -50,7 +52,12 @@
 /// Ends the process by the plan; returns when it may exit.
 pub(super) async fn end(shared: &Handle, ending: Ending) {
     let longest = || shared.timings.get().longest_deadline;
-    let mut plan = PlannedEnd::new(shared.now(), longest(), ending.left(shared).heir_serves);
+    let killer = if ending.platform {
+        Killer::Platform { heir_serves: ending.left(shared).heir_serves }
+    } else {
+        Killer::ProcessManager
+    };
+    let mut plan = PlannedEnd::new(shared.now(), longest(), killer);
     let mut answer_by = plan.answer_by();
     step(shared, |node, now, out| node.ends_by(now, answer_by, out));
     let reports = shared.executor.spawn(report(shared.clone(), plan));
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -1,10 +1,12 @@
 //! One process from its start to its end.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_executor::Task;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::future;
@@ -26,7 +28,7 @@
 use crate::quorum::Incarnation;
 use crate::quorum::fronts::Fronts;
 use crate::records::Findings;
-use crate::roster::Source;
+use crate::roster::{News, Source};
 use crate::rules::standing::Standing;
 
 /// Time between counts that the quorum is told.
@@ -60,35 +62,33 @@
     }
 }
 
-/// Serves until it is told to stop. `trace` lines a second at most tell of requests in the log; `reread` gives the
-/// configuration anew when that is asked for.
-pub fn run(
-    config: &Config,
-    trace: u32,
-    reread: impl Fn() -> Result<Config, Findings> + 'static,
-) -> io::Result<()> {
-    #[cfg(feature = "trials")]
-    crate::mutant::choose(crate::mutant::of_environment());
-    let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let (board, known) = Board::new(config.names.clone(), &config.known);
-    let shared = Shared::new(config, board);
-    shared.node.borrow_mut().trace(trace);
-    let watched = config.watch.clone().map(|setup| files::start(&shared, config, setup));
+/// What listens for clients: the tasks that accept, and the bells that tell them of the last call.
+#[derive(Default)]
+struct Doors {
+    fronts: Vec<Task<()>>,
+    last_calls: Vec<Rc<Bell>>,
+}
+
+/// Begins to hear of servers from all sources that the configuration names.
+fn hear_of_servers(shared: &Handle, config: &Config, known: Vec<News>) -> Option<Rc<RefCell<files::Files>>> {
+    let watched = config.watch.clone().map(|setup| files::start(shared, config, setup));
     if config.board.is_some() || config.eureka.is_some() || watched.is_some() {
-        step(&shared, |node, now, _| node.awaits_list(now));
+        step(shared, |node, now, _| node.awaits_list(now));
     }
     if !config.servers.is_empty() {
-        files::hear(&shared, Source::Fixed, whole(config.servers.clone()));
+        files::hear(shared, Source::Fixed, whole(config.servers.clone()));
     }
     for news in known {
-        files::hear(&shared, Source::Board, news);
+        files::hear(shared, Source::Board, news);
     }
     shared.executor.spawn(files::keep(shared.clone(), watched.clone())).detach();
     shared.executor.spawn(follow(shared.clone())).detach();
-    let (mut fronts, mut last_calls) = (Vec::new(), Vec::new());
-    let place = || handover::place(&std::env::temp_dir(), &config.name);
-    let handover = config.inherited.map(|_| Handover::new(place()));
-    *shared.handover.borrow_mut() = handover.clone();
+    watched
+}
+
+/// Opens the clients' sockets, those that the platform holds or those of this process's own.
+fn open_doors(shared: &Handle, config: &Config, handover: Option<&Rc<Handover>>) -> io::Result<Doors> {
+    let mut doors = Doors::default();
     let whip = config.whip.as_ref().map(|w| w.listen);
     for (address, front) in [(config.listen, Front::Platform), (whip, Front::Whip)] {
         let Some(address) = address else { continue };
@@ -99,29 +99,29 @@
             None => bind(field, address)?,
         };
         log_listens(&config.name, &listener, front.name())?;
-        let gate = handover.clone().filter(|_| inherited.is_some());
+        let gate = handover.filter(|_| inherited.is_some()).cloned();
         let last_call = Rc::new(Bell::default());
-        last_calls.push(last_call.clone());
+        doors.last_calls.push(last_call.clone());
         // Where the platform holds the socket too, what waits there is for the next process.
         let kept = inherited.is_some();
         let door = Door { listener, front, gate, last_call, kept };
-        fronts.push(shared.executor.spawn(accept(shared.clone(), door)));
+        doors.fronts.push(shared.executor.spawn(accept(shared.clone(), door)));
     }
-    if let Some(address) = config.console {
-        let listener = bind("console", address)?;
-        log_listens(&config.name, &listener, "console")?;
-        shared.executor.spawn(super::console::console(shared.clone(), listener)).detach();
-    }
-    let leave = Rc::new(Bell::default());
-    let registry = config.eureka.clone().map(|setup| {
-        let registry = Eureka::new(setup, config.names.clone());
-        shared.executor.spawn(take_part(shared.clone(), registry, leave.clone()))
-    });
-    shared.executor.spawn(keep_time(shared.clone())).detach();
-    let handed = handover.clone();
-    let stopping = Rc::new(Bell::default());
+    Ok(doors)
+}
+
+fn open_console(shared: &Handle, config: &Config) -> io::Result<()> {
+    let Some(address) = config.console else { return Ok(()) };
+    let listener = bind("console", address)?;
+    log_listens(&config.name, &listener, "console")?;
+    shared.executor.spawn(super::console::console(shared.clone(), listener)).detach();
+    Ok(())
+}
+
+/// Takes part in the quorum, if the configuration names one; what it agrees on goes to the node.
+fn join_quorum(shared: &Handle, config: &Config) -> io::Result<Option<Rc<quorum::Quorum>>> {
+    let Some(setup) = &config.quorum else { return Ok(None) };
     let incarnation = Incarnation(unix().0);
-    let setup = config.quorum.as_ref();
     let told = shared.clone();
     let paced = move |fronts: Fronts| {
         step(&told, |node, now, out| node.fronts(now, fronts.count, fronts.place, out));
@@ -130,28 +130,54 @@
     let ruled = move |standing: Standing| {
         step(&told, |node, now, out| node.ruled(now, standing, out));
     };
-    let quorum = setup
-        .map(|setup| quorum::start(&shared.executor, setup, incarnation, Box::new(paced), Box::new(ruled)))
-        .transpose()?;
-    if let Some(quorum) = &quorum {
-        shared.executor.spawn(count(shared.clone(), quorum.clone())).detach();
-    }
+    let quorum = quorum::start(&shared.executor, setup, incarnation, Box::new(paced), Box::new(ruled))?;
+    shared.executor.spawn(count(shared.clone(), quorum.clone())).detach();
+    Ok(Some(quorum))
+}
+
+/// Serves until it is told to stop. `trace` lines a second at most tell of requests in the log; `reread` gives the
+/// configuration anew when that is asked for.
+pub fn run(
+    config: &Config,
+    trace: u32,
+    reread: impl Fn() -> Result<Config, Findings> + 'static,
+) -> io::Result<()> {
+    #[cfg(feature = "trials")]
+    crate::mutant::choose(crate::mutant::of_environment());
+    let heard = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let (board, known) = Board::new(config.names.clone(), &config.known);
+    let shared = Shared::new(config, board);
+    shared.node.borrow_mut().trace(trace);
+    let watched = hear_of_servers(&shared, config, known);
+    let place = || handover::place(&std::env::temp_dir(), &config.name);
+    let handover = config.inherited.map(|_| Handover::new(place()));
+    *shared.handover.borrow_mut() = handover.clone();
+    let Doors { fronts, last_calls } = open_doors(&shared, config, handover.as_ref())?;
+    open_console(&shared, config)?;
+    let leave = Rc::new(Bell::default());
+    let registry = config.eureka.clone().map(|setup| {
+        let registry = Eureka::new(setup, config.names.clone());
+        shared.executor.spawn(take_part(shared.clone(), registry, leave.clone()))
+    });
+    shared.executor.spawn(keep_time(shared.clone())).detach();
+    let quorum = join_quorum(&shared, config)?;
+    let stopping = Rc::new(Bell::default());
     let signals = signals(shared.clone(), heard, config.clone(), reread, watched, quorum, stopping.clone());
     shared.executor.spawn(signals).detach();
     if let Some(handover) = &handover {
         shared.executor.spawn(handover::start(shared.clone(), handover.clone())).detach();
     }
-    let ending = Ending { handover, fronts, last_calls, registry };
-    let stop = async {
+    let handed = handover.clone();
+    let ending = Ending { platform: config.listen.is_some(), handover, fronts, last_calls, registry };
+    let told = async {
         stopping.heard().await;
         leave.ring();
         end(&shared, ending).await;
     };
-    let other = async {
+    let replaced = async {
         left(handed.as_ref()).await;
         info!(event = "stopped", reason = "another process serves");
     };
-    let stop = future::or(stop, other);
-    async_io::block_on(shared.executor.run(stop));
+    async_io::block_on(shared.executor.run(future::or(told, replaced)));
     Ok(())
 }
--- a/src/operate/planned_end.rs
+++ b/src/operate/planned_end.rs
@@ -13,6 +13,8 @@
 const LONGEST_COUNTED: Micros = Micros(3_000_000);
 /// The same where another process serves in this one's place (operators' page on operating days).
 const LONGEST_COUNTED_WITH_HEIR: Micros = Micros(5_000_000);
+/// A broker without the platform's front is killed by whatever manages processes there, by custom after so long.
+const GRACE_ELSEWHERE: Micros = Micros(30_000_000);
 /// Kept free before the earliest SIGKILL for a process that runs late: twice the pages' slack on sockets.
 const LATE_SPARE: Micros = Micros(100_000);
 /// Peers have so long to hear the last words and to close their connections too.
@@ -20,6 +22,18 @@
 /// Last words that were queued in one turn are written in the next ones.
 const WRITTEN_WITHIN: Micros = Micros(50_000);
 
+/// By whose rules a process that was told to end is killed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Killer {
+    /// The platform's; another process serves in this one's place already, or not.
+    Platform {
+        /// See there.
+        heir_serves: bool,
+    },
+    /// A process manager's: the broker serves no clients of the platform.
+    ProcessManager,
+}
+
 /// What is still there, at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Left {
@@ -64,17 +78,15 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedEnd {
     told_at: Micros,
-    longest_counted: Micros,
+    killer: Killer,
     kill_at: Micros,
     stage: Stage,
 }
 
 impl PlannedEnd {
     /// A process was told to end. The longest deadline is that of the settings in force.
-    pub fn new(now: Micros, longest_deadline: Micros, heir_serves: bool) -> PlannedEnd {
-        let longest_counted = if heir_serves { LONGEST_COUNTED_WITH_HEIR } else { LONGEST_COUNTED };
-        let mut end =
-            PlannedEnd { told_at: now, longest_counted, kill_at: Micros::MAX, stage: Stage::StillComing };
+    pub fn new(now: Micros, longest_deadline: Micros, killer: Killer) -> PlannedEnd {
+        let mut end = PlannedEnd { told_at: now, killer, kill_at: Micros::MAX, stage: Stage::StillComing };
         end.shorten(longest_deadline);
         end
     }
@@ -84,7 +96,13 @@
         if mutant::on(Mutant::LateDoors) {
             return;
         }
-        let kill_after = longest_deadline.min(self.longest_counted) + KILL_DELAY;
+        let kill_after = match self.killer {
+            Killer::Platform { heir_serves: false } => longest_deadline.min(LONGEST_COUNTED) + KILL_DELAY,
+            Killer::Platform { heir_serves: true } => {
+                longest_deadline.min(LONGEST_COUNTED_WITH_HEIR) + KILL_DELAY
+            }
+            Killer::ProcessManager => GRACE_ELSEWHERE,
+        };
         self.kill_at = self.kill_at.min(self.told_at + kill_after);
     }
 
--- a/src/operate/planned_end/tests.rs
+++ b/src/operate/planned_end/tests.rs
@@ -3,6 +3,10 @@
 const T: Micros = Micros(1_000_000_000);
 const MS: u64 = 1_000;
 
+fn platform(heir_serves: bool) -> Killer {
+    Killer::Platform { heir_serves }
+}
+
 fn busy() -> Left {
     Left { unanswered: 3, playing: 2, connections: 4, ..Left::default() }
 }
@@ -28,7 +32,7 @@
         (5_000, true, 5_700),
         (10_000, true, 5_700),
     ] {
-        let end = PlannedEnd::new(T, Micros(longest_ms * MS), heir);
+        let end = PlannedEnd::new(T, Micros(longest_ms * MS), platform(heir));
         assert_eq!(end.kill_at(), T + Micros(kill_ms * MS));
         let taken = steps(end, Left { heir_serves: heir, ..busy() });
         let doors = kill_ms - 400;
@@ -44,7 +48,7 @@
 
 #[test]
 fn a_process_with_nothing_left_ends_behind_the_last_call() {
-    let taken = steps(PlannedEnd::new(T, Micros(3_000 * MS), false), Left::default());
+    let taken = steps(PlannedEnd::new(T, Micros(3_000 * MS), platform(false)), Left::default());
     let wanted = [(700, Step::LastCall), (700, Step::CloseDoors), (700, Step::Release), (750, Step::Exit)];
     assert_eq!(taken, wanted);
 }
@@ -52,15 +56,22 @@
 #[test]
 fn an_heir_keeps_the_doors_open_until_it_has_all_or_time_is_up() {
     let left = Left { heir_serves: true, ..Left::default() };
-    let taken = steps(PlannedEnd::new(T, Micros(1_000 * MS), true), left);
+    let taken = steps(PlannedEnd::new(T, Micros(1_000 * MS), platform(true)), left);
     assert_eq!(taken[1], (1_300, Step::CloseDoors));
 }
 
 #[test]
 fn new_settings_shorten_the_time_and_never_lengthen_it() {
-    let mut end = PlannedEnd::new(T, Micros(2_000 * MS), false);
+    let mut end = PlannedEnd::new(T, Micros(2_000 * MS), platform(false));
     end.shorten(Micros(9_000 * MS));
     assert_eq!(end.kill_at(), T + Micros(2_700 * MS));
     end.shorten(Micros(500 * MS));
     assert_eq!(end.kill_at(), T + Micros(1_200 * MS));
 }
+
+#[test]
+fn without_the_platform_sessions_play_on_for_as_long_as_process_managers_wait() {
+    let mut end = PlannedEnd::new(T, Micros(2_000 * MS), Killer::ProcessManager);
+    end.shorten(Micros(500 * MS));
+    assert_eq!(end.kill_at(), T + Micros(30_000 * MS));
+}
