Play short dense trials of real brokers among faults, one from each seed: trials soak

Mutants: late-retry and cut-at-close beside late-doors and queued-is-written. The command that repeats all scenarios is now 'repeat'.

--- a/src/mutant.rs
+++ b/src/mutant.rs
@@ -45,11 +45,15 @@
     LateDoors,
     /// The end of an attempt counts as written once it is queued.
     QueuedIsWritten,
+    /// A notice board that failed is asked again late.
+    LateRetry,
+    /// A connection that is let go is cut, and what waits there is dropped.
+    CutAtClose,
 }
 
 impl Mutant {
     /// All of them, with the names they go by.
-    pub const ALL: [(&'static str, Mutant); 21] = [
+    pub const ALL: [(&'static str, Mutant); 23] = [
         ("no-drift", Mutant::NoDrift),
         ("from-receipt", Mutant::FromReceipt),
         ("no-second-look", Mutant::NoSecondLook),
@@ -71,6 +75,8 @@
         ("floor-of-first-attempt", Mutant::FloorOfFirstAttempt),
         ("late-doors", Mutant::LateDoors),
         ("queued-is-written", Mutant::QueuedIsWritten),
+        ("late-retry", Mutant::LateRetry),
+        ("cut-at-close", Mutant::CutAtClose),
     ];
 }
 
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -10,9 +10,14 @@
 
 use super::reading::{code, read_now, within};
 use super::{Handle, files, micros};
+use crate::api::Micros;
 use crate::board::{self, BoardError};
+use crate::mutant::{self, Mutant};
 use crate::roster::Source;
 
+/// Time before the next try in a wrong way of the program.
+const LATE_RETRY: Micros = Micros(20_000_000);
+
 /// Follows the notice board, wherever the configuration says it is.
 pub(super) async fn follow(shared: Handle) {
     loop {
@@ -34,7 +39,8 @@
                 Ok(reason) => end(reason),
                 Err(error) => end(code(&error)),
             }
-            Timer::after(micros(board::RETRY)).await;
+            let retry = if mutant::on(Mutant::LateRetry) { LATE_RETRY } else { board::RETRY };
+            Timer::after(micros(retry)).await;
         };
         // A new address is asked at once, also in the middle of a dial or of the wait before the next.
         future::or(moved, stay).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -39,6 +39,7 @@
 use crate::api::{Micros, SessionId};
 use crate::board::Board;
 use crate::config::Config;
+use crate::mutant::{self, Mutant};
 use crate::node::Node;
 use crate::platform::links::{Command, ConnId};
 use crate::platform::timings::Timings;
@@ -178,11 +179,11 @@
                     outbox.close(reason);
                 }
             }
-            Command::LetGo(conn, reason) => {
-                if let Some(outbox) = shared.boxes.borrow().get(&conn) {
-                    outbox.let_go(reason);
-                }
-            }
+            Command::LetGo(conn, reason) => match shared.boxes.borrow().get(&conn) {
+                Some(outbox) if mutant::on(Mutant::CutAtClose) => outbox.cut(reason),
+                Some(outbox) => outbox.let_go(reason),
+                None => {}
+            },
             Command::Leave(conn, reason) => {
                 if let Some(outbox) = shared.boxes.borrow().get(&conn) {
                     outbox.leave(reason);
--- a/trials/src/herd/board.rs
+++ b/trials/src/herd/board.rs
@@ -15,6 +15,10 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Time between two comments.
 const COMMENT: Duration = Duration::from_secs(1);
+/// Time between two bytes of a board that drips.
+const DRIP: Duration = Duration::from_millis(500);
+/// Longer than any trial.
+const FOREVER: Duration = Duration::from_secs(3_600);
 /// Bytes of a request's head at most.
 const LONGEST_HEAD: usize = 4 * 1024;
 
@@ -24,10 +28,28 @@
         "state": state, "capacity_hint": 4, "boot_ms": boot_ms})
 }
 
+/// A way in which it fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Connections are refused.
+    Down,
+    /// It accepts and says nothing, also on connections that are open.
+    Silent,
+    /// It answers that it is not available.
+    Unavailable,
+    /// It goes on at two bytes a second.
+    Drips,
+}
+
+impl Fault {
+    /// All of them.
+    pub const ALL: [Fault; 4] = [Fault::Down, Fault::Silent, Fault::Unavailable, Fault::Drips];
+}
+
 #[derive(Debug, Default)]
 struct Told {
     events: Vec<Value>,
-    down: bool,
+    fault: Option<Fault>,
 }
 
 /// The board, as the thread that runs the trial holds it.
@@ -48,7 +70,12 @@
 
     /// Takes it down, or brings it back.
     pub fn set_down(&self, down: bool) {
-        self.told().down = down;
+        self.fail(down.then_some(Fault::Down));
+    }
+
+    /// It fails in a way from now on, or is good again.
+    pub fn fail(&self, fault: Option<Fault>) {
+        self.told().fault = fault;
     }
 
     /// The last event's number.
@@ -61,8 +88,12 @@
         json!({"rev": last, "notices": self.told().events[..last]})
     }
 
+    fn fault(&self) -> Option<Fault> {
+        self.told().fault
+    }
+
     fn down(&self) -> bool {
-        self.told().down
+        self.fault() == Some(Fault::Down)
     }
 
     fn behind(&self, last: usize) -> Vec<Value> {
@@ -108,6 +139,21 @@
         let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n".to_owned();
         let mut commented = Instant::now();
         while !self.down() {
+            match self.fault() {
+                Some(Fault::Unavailable) => {
+                    let _ = (&stream)
+                        .write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                        .await;
+                    return;
+                }
+                // What has begun is neither gone on with nor ended: it is never good again.
+                Some(Fault::Silent) => {
+                    Timer::after(FOREVER).await;
+                    return;
+                }
+                Some(Fault::Drips) => return drip(&stream, &text).await,
+                Some(Fault::Down) | None => {}
+            }
             for event in self.behind(last) {
                 last += 1;
                 text += &format!("id: {last}\ndata: {event}\n\n");
@@ -125,6 +171,17 @@
     }
 }
 
+/// Says something at two bytes a second, again and again, until the other side ends the connection.
+async fn drip(mut stream: &Async<TcpStream>, text: &str) {
+    let text = if text.is_empty() { "id: 9\ndata: {" } else { text };
+    for byte in text.as_bytes().iter().cycle() {
+        if stream.write_all(&[*byte]).await.is_err() {
+            return;
+        }
+        Timer::after(DRIP).await;
+    }
+}
+
 /// Reads a request's head; gives the number of the last event that the broker has heard.
 async fn asked(mut stream: &Async<TcpStream>) -> Option<usize> {
     let mut head = Vec::new();
--- a/trials/src/herd/processes.rs
+++ b/trials/src/herd/processes.rs
@@ -27,7 +27,8 @@
 }
 
 impl Program {
-    fn command(&self, own: &Path) -> Command {
+    /// The command that starts it, but for its file; `own` is this executable.
+    pub fn command(&self, own: &Path) -> Command {
         let mut command = match &self.path {
             Some(path) => Command::new(path),
             None => {
--- a/trials/src/herd/starved.rs
+++ b/trials/src/herd/starved.rs
@@ -39,7 +39,7 @@
 }
 
 /// For how long a process has been ready to run and had no CPU, by the system's scheduler; a broker has one thread.
-fn waited(pid: u32) -> Option<Duration> {
+pub fn waited(pid: u32) -> Option<Duration> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
     text.split_whitespace().nth(1)?.parse().ok().map(Duration::from_nanos)
 }
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod relay;
 pub mod run;
 pub mod scenario;
+pub mod soak;
 pub mod viewers;
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,6 +1,7 @@
 //! `amberspindle-trials`: lists and runs scenarios, and is the broker of its own trials.
 
 mod herd_command;
+mod soak_command;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -93,8 +94,10 @@
     },
     /// Kill seven in ten of many brokers under load; ends with 0 if no request was lost, late or set up twice
     Herd(herd_command::Arguments),
+    /// Run short dense trials of planned ends among faults, one a seed; ends with 0 if no rule is broken
+    Soak(soak_command::Arguments),
     /// Run all scenarios with one seed after another, so many times
-    Soak {
+    Repeat {
         /// How often
         #[arg(long, default_value_t = 10)]
         times: u64,
@@ -154,7 +157,8 @@
         Command::Viewers { rounds, seconds } => measured(measure::viewers(&program, rounds, seconds)),
         Command::Rules { times } => measured(measure::rules(&program, times)),
         Command::Log { missed } => measured(measure::log(missed)),
-        Command::Soak { times } => {
+        Command::Soak(arguments) => arguments.run(&program),
+        Command::Repeat { times } => {
             let mut options = Options { program, seed: 0, mutant: None, patience: PATIENCE, keep: None };
             (1..=times).fold(true, |good, seed| {
                 options.seed = seed;
--- a/trials/src/process.rs
+++ b/trials/src/process.rs
@@ -50,14 +50,25 @@
 
     /// Starts a command of the caller's; its log goes to the history.
     pub fn spawn(
+        command: Command,
+        name: &str,
+        run: usize,
+        how: &str,
+        history: &History,
+    ) -> std::io::Result<Process> {
+        Process::spawn_with(command, Stdio::null(), name, run, how, history)
+    }
+
+    /// The same with a standard input, such as an inherited socket.
+    pub fn spawn_with(
         mut command: Command,
+        input: Stdio,
         name: &str,
         run: usize,
         how: &str,
         history: &History,
     ) -> std::io::Result<Process> {
-        let mut child =
-            command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::inherit()).spawn()?;
+        let mut child = command.stdin(input).stdout(Stdio::piped()).stderr(Stdio::inherit()).spawn()?;
         let out = child.stdout.take();
         let (history, who, how) = (history.clone(), name.to_owned(), how.to_owned());
         let reader = std::thread::spawn(move || {
@@ -85,6 +96,11 @@
         };
     }
 
+    /// How it ended, once it has.
+    pub fn status(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Whether it has ended by itself.
     pub fn ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
