Take on what a set-up usually needs when a process ends, not what its class wants it within

A paid request is taken on now if ten times the usual set-up time is left (three times for what may be repeated), never more than half of the time there was.

--- a/src/module/brain/ending.rs
+++ b/src/module/brain/ending.rs
@@ -4,8 +4,9 @@
 
 /// A set-up of a class that may be repeated is begun if so many times its usual time are left.
 const REPEATABLE_TIMES: f64 = 3.0;
-/// A set-up that must not happen twice may take as long as its class wants it within, but no more than this
-/// part of the time that the front had when it was told.
+/// One of a class whose set-up must not happen twice fails for good if it is not answered: so many times.
+const ONCE_TIMES: f64 = 10.0;
+/// But no more than this part of the time that the front had when it was told.
 const ONCE_PART: u64 = 2;
 
 impl Brain {
@@ -28,13 +29,12 @@
     pub(super) fn takes_on(&self, id: SessionId) -> bool {
         let (Some(end), Some(session)) = (self.book.end, self.book.sessions.get(&id)) else { return true };
         let left = end.answer_by - self.book.now;
-        let class = &self.set.classes[session.req.class];
-        let wanted = match class.effect {
-            Effect::Safe => Micros::from_secs(self.book.setup_s * REPEATABLE_TIMES) + self.spare(),
-            Effect::Unsafe | Effect::Keyed { .. } => {
-                class.aim.min(Micros((end.answer_by - end.told_at).0 / ONCE_PART))
-            }
+        let times = match self.set.classes[session.req.class].effect {
+            Effect::Safe => REPEATABLE_TIMES,
+            Effect::Unsafe | Effect::Keyed { .. } => ONCE_TIMES,
         };
+        let usual = Micros::from_secs(self.book.setup_s * times) + self.spare();
+        let wanted = usual.min(Micros((end.answer_by - end.told_at).0 / ONCE_PART));
         session.req.due < end.answer_by || left >= wanted
     }
 }
--- a/trials/src/soak/client.rs
+++ b/trials/src/soak/client.rs
@@ -27,6 +27,8 @@
 const LOOK: Duration = Duration::from_millis(2);
 /// Sessions play for so long, in milliseconds.
 const PLAYS_MS: std::ops::Range<u64> = 50..600;
+/// A session that could not be ended is forgotten after so long.
+const FORGOTTEN: Duration = Duration::from_secs(2);
 /// Titles that clients ask for.
 const TITLES: usize = 40;
 const TURN: usize = 16 * 1024;
@@ -104,7 +106,8 @@
         let mut next = Instant::now();
         loop {
             let ending = self.crowd.ending.get();
-            if ending && self.open.borrow().is_empty() {
+            // What plays is ended first, so that the end of each session has somebody to be told to.
+            if ending && self.open.borrow().is_empty() && self.plays.borrow().is_empty() {
                 return;
             }
             if self.connection.borrow().is_none() {
@@ -216,6 +219,8 @@
             }
         }
         self.open.borrow_mut().retain(|_, pending| now < pending.due);
+        // One that is held by a broker that the client has no connection to any more is out of its mind after a while.
+        self.plays.borrow_mut().retain(|_, p| p.leave_at.is_some_and(|at| now < at + FORGOTTEN));
         let left: Vec<Id> =
             self.plays.borrow().iter().filter(|(_, p)| is_due(p.leave_at)).map(|(id, _)| *id).collect();
         for id in left {
