--- a/trials/src/soak/plan.rs
+++ b/trials/src/soak/plan.rs
@@ -174,6 +174,7 @@
         if rng.bool() {
             let fault = BoardFault::ALL[rng.usize(..BoardFault::ALL.len())];
             self.span(rng, 3_000..=8_000, Act::Board(Some(fault)), Act::Board(None));
+            self.drain_close_to_return();
         }
         if rng.u32(..3) == 0 {
             let times = rng.u32(2..=4);
@@ -185,6 +186,17 @@
         }
     }
 
+    /// A server drains from shortly before the board is good again until the end of the trial.
+    fn drain_close_to_return(&mut self) {
+        let mut rng = Rng::with_seed(self.seed ^ 0xD4A1);
+        let good = self.acts.iter().find(|(_, act)| *act == Act::Board(None)).map(|(at, _)| *at);
+        let server = rng.usize(..self.servers);
+        let before = Duration::from_millis(rng.u64(..=1_500));
+        // What else is drawn for that server is left out, so that nothing else keeps requests away from it.
+        self.acts.retain(|(_, act)| !matches!(act, Act::Server(of, _) | Act::Drain(of, _) if *of == server));
+        self.acts.extend(good.map(|at| (at.saturating_sub(before), Act::Drain(server, true))));
+    }
+
     fn span(&mut self, rng: &mut Rng, ms: std::ops::RangeInclusive<u64>, begins: Act, ends: Act) {
         let at = self.moment(rng);
         let until = (at + Duration::from_millis(rng.u64(ms))).min(self.load);
