--- a/trials/src/herd/crowd.rs
+++ b/trials/src/herd/crowd.rs
@@ -94,7 +94,9 @@
                     }
                 }
                 Order::Begin => {
-                    self.executor.spawn(watch_stalls(self.setup.ledger.clone())).detach();
+                    let ledger = self.setup.ledger.clone();
+                    let note = move |due, fired| ledger.book().stalls.push((due, fired));
+                    self.executor.spawn(watch_stalls(note)).detach();
                     let mut rng = Rng::with_seed(self.setup.seed);
                     let viewer =
                         |number| self.executor.spawn(Viewer::new(self.clone(), number, rng.fork()).live());
@@ -199,8 +201,9 @@
     future::or(test, late).await == Some(Said::Pong(true))
 }
 
-/// Notes when this thread's timers are late: what it sees then is older than it seems.
-async fn watch_stalls(ledger: Ledger) {
+/// Tells when this thread's timers are late, from when they were due until they fired: what it sees then is older than it
+/// seems.
+pub async fn watch_stalls(note: impl Fn(Instant, Instant)) {
     const EVERY: Duration = Duration::from_millis(5);
     const STALL: Duration = Duration::from_millis(1);
     loop {
@@ -208,7 +211,7 @@
         Timer::after(EVERY).await;
         let fired = Instant::now();
         if fired > due + STALL {
-            ledger.book().stalls.push((due, fired));
+            note(due, fired);
         }
     }
 }
--- a/trials/src/soak/rig.rs
+++ b/trials/src/soak/rig.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -18,6 +18,7 @@
 use super::plan::{Plan, ServerFault};
 use super::server::Server;
 use crate::herd::board::Board;
+use crate::herd::crowd::watch_stalls;
 
 /// Past the end of the load answers are waited for so long.
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -73,7 +74,9 @@
             ending: Cell::new(false),
             deployment: self.plan.deployment.clone(),
         });
-        executor.spawn(watch_stalls(self.book)).detach();
+        let book = self.book;
+        let note = move |due, fired| book.lock().stalls.push((due, fired));
+        executor.spawn(watch_stalls(note)).detach();
         let brokers = crowd.fronts.len();
         let clients: Vec<_> = (0..self.plan.clients)
             .map(|n| executor.spawn(Client::new(crowd.clone(), n % brokers, rng.fork()).live()))
@@ -100,17 +103,3 @@
         async_io::block_on(executor.run(obey));
     }
 }
-
-/// Notes when this thread's timers are late: what it sees then is older than it seems.
-async fn watch_stalls(book: SharedBook) {
-    const EVERY: Duration = Duration::from_millis(5);
-    const STALL: Duration = Duration::from_millis(1);
-    loop {
-        let due = Instant::now() + EVERY;
-        Timer::after(EVERY).await;
-        let fired = Instant::now();
-        if fired > due + STALL {
-            book.lock().stalls.push((due, fired));
-        }
-    }
-}
