--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -15,7 +15,7 @@
 /// A bad client comes so often, from that time on.
 const BAD_EACH_S: f64 = 0.5;
 const BAD_FROM_S: f64 = 5.0;
-const LAST_S: f64 = 60.0;
+const LAST_S: f64 = 75.0;
 /// It sends so many requests at once, and withdraws each.
 const REQUESTS: u64 = 300;
 /// Characters of the title that it names; its messages stay well under the 16 KiB that one may hold.
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -25,7 +25,7 @@
          \x20   if request.title != \"k{LOOPS_AT:04}\" {{ return; }}\n\
          \x20   let name = request.title;\n\
          \x20   let titles = [];\n\
-         \x20   for n in 0..2500 {{ titles.push(\"clip-\" + n); }}\n\
+         \x20   for n in 0..3500 {{ titles.push(\"clip-\" + n); }}\n\
          \x20   {head} {{ titles = titles.filter(|t| {step}); }}\n\
          }}\n"
     )
