--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -42,7 +42,8 @@
         finish(&record, &mut [], 2, "deploy/operator.toml has no [settings]");
     };
     let settings = settings.replace("Places = 3", &format!("Places = {SERVERS}"));
-    let mut file = format!("name = \"showroom\"\n[platform]\nlisten = \"{listen}\"\n[hook]\nscript = \"hook.rhai\"\n");
+    let mut file =
+        format!("name = \"showroom\"\n[platform]\nlisten = \"{listen}\"\n[hook]\nscript = \"hook.rhai\"\n");
     for server in &servers {
         file += &format!(
             "[[server]]\nid = \"{}\"\naddress = \"{}\"\ncell = {}\nkind = \"box-2core\"\nweight = 4.0\n",
