--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -832,6 +832,13 @@
     }
 }
 
+/// A case that panics leaves no process behind.
+impl Drop for Broker {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 /// Asks at the clients' address whether the broker is ready.
 pub fn is_ready(listen: SocketAddr) -> bool {
     let ask = || -> std::io::Result<bool> {
