Refuse a configuration at SIGHUP that lacks any key of the one in force

Cause: missing_key left out board, known, seed and console and compared only some sections; reload then set the board's address to none.

Change: operate/missing_key.rs compares both kinds of file at every depth; a list may not become empty, and an entry that stays keeps its keys.

--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -12,7 +12,7 @@
 use crate::api::ListKind;
 use crate::board::BoardClient;
 use crate::config::Config;
-use crate::operate::settings::missing_key;
+use crate::operate::missing_key::missing_key;
 use crate::records::Findings;
 use crate::roster::{ListUpdate, ListedServer, Source};
 
@@ -31,7 +31,7 @@
         }
     };
     // A file that lacks a field that the one in force has may be incomplete: nothing of it is applied.
-    if let Some(field) = missing_key(&old.raw, &new.raw).filter(|_| !old.raw.is_null()) {
+    if let Some(field) = missing_key(&old.raw, &new.raw) {
         shared.node.borrow_mut().record_reload(false);
         return warn!(event = "reload refused", problem = %format_args!("{field}: missing, but set in the configuration in force"));
     }
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -4,6 +4,7 @@
 pub mod console;
 pub mod figures;
 pub mod handover;
+pub mod missing_key;
 pub mod phase;
 pub mod planned_end;
 pub mod settings;
--- a/src/operate/settings.rs
+++ b/src/operate/settings.rs
@@ -3,8 +3,6 @@
 
 use std::collections::BTreeSet;
 
-use serde_json::Value;
-
 use crate::api::Settings;
 use crate::roster::SettingNames;
 
@@ -127,50 +125,8 @@
     MergedSettings { settings, names, class_numbers, tenant_numbers, deferred }
 }
 
-/// The keys that a class must keep, as it would have another meaning without them.
-const REQUIRED_CLASS_KEYS: [&str; 4] = ["Name", "Effect", "Slo", "Deadline"];
-/// The keys that may appear and disappear between files.
-const OPTIONAL_KEYS: [&str; 4] = ["console", "known", "board", "seed"];
-
-/// Returns the path of a key that is in the file in force but not in the new one, if there is one. Such a file is
-/// incomplete, as the platform always writes all keys.
-pub fn missing_key(old: &Value, new: &Value) -> Option<String> {
-    let missing_in = |old: &Value, new: &Value, path: &str| -> Option<String> {
-        let old = old.as_object()?;
-        let is_missing = |key: &&String| new.get(key.as_str()).is_none_or(Value::is_null);
-        let key = old.iter().filter(|(_, v)| !v.is_null()).map(|(k, _)| k).find(is_missing)?;
-        Some(format!("{path}{key}"))
-    };
-    let mut root = old.clone();
-    if let Some(root) = root.as_object_mut() {
-        OPTIONAL_KEYS.iter().for_each(|key| drop(root.remove(*key)));
-    }
-    let (old_settings, new_settings) = (&old["settings"], &new["settings"]);
-    let sections = ["Limits", "Rules", "FamilyInfo"];
-    let missing_class_key = || {
-        let classes = new_settings["RequestClasses"].as_array()?;
-        let all_had = |key: &str| {
-            old_settings["RequestClasses"].as_array().is_some_and(|c| c.iter().all(|c| !c[key].is_null()))
-        };
-        classes.iter().enumerate().find_map(|(i, class)| {
-            let key = REQUIRED_CLASS_KEYS.iter().find(|key| class[**key].is_null() && all_had(key))?;
-            Some(format!("settings.RequestClasses[{i}].{key}"))
-        })
-    };
-    missing_in(&root, new, "")
-        .or_else(|| missing_in(old_settings, new_settings, "settings."))
-        .or_else(|| {
-            sections.iter().find_map(|section| {
-                missing_in(&old_settings[*section], &new_settings[*section], &format!("settings.{section}."))
-            })
-        })
-        .or_else(missing_class_key)
-}
-
 #[cfg(test)]
 mod tests {
-    use serde_json::json;
-
     use super::*;
     use crate::api::{Class, Idempotency, Micros, Tenant};
 
@@ -240,27 +196,4 @@
         assert!(now.0.classes.len() <= 3 && now.0.tenants.len() <= 3, "{:?}", now.1);
         assert_eq!((now.1.class("c999").is_some(), now.1.class("c997")), (true, None));
     }
-
-    #[test]
-    fn reports_a_key_that_the_new_file_lacks() {
-        let class = json!({"Name": "paid", "Effect": "read_like", "Slo": 1, "Deadline": 2});
-        let old = json!({"name": "n", "listen": "x", "known": {}, "limits": {"sockets": 1},
-            "settings": {"Fees": {}, "Limits": {"AttemptsCap": 4}, "RequestClasses": [class]}});
-        assert_eq!(missing_key(&old, &old), None);
-        let without = |path: &str, key: &str| {
-            let mut new = old.clone();
-            new.pointer_mut(path).unwrap().as_object_mut().unwrap().remove(key);
-            missing_key(&old, &new)
-        };
-        for (path, key, expected) in [
-            ("", "limits", "limits"),
-            ("", "settings", "settings"),
-            ("/settings", "Fees", "settings.Fees"),
-            ("/settings/Limits", "AttemptsCap", "settings.Limits.AttemptsCap"),
-            ("/settings/RequestClasses/0", "Effect", "settings.RequestClasses[0].Effect"),
-        ] {
-            assert_eq!(without(path, key).as_deref(), Some(expected));
-        }
-        assert_eq!(without("", "known"), None);
-    }
 }
--- a/src/wire/conf.rs
+++ b/src/wire/conf.rs
@@ -62,7 +62,13 @@
         self.number_or(key, 0.0).map(Micros::from_ms)
     }
 
-    pub(super) fn text_or(&self, key: &str, default: &'a str) -> &'a str {
-        self.optional(key).and_then(|c| c.value.as_str()).unwrap_or(default)
+    pub(super) fn text_or(&self, key: &str, default: &'a str) -> Result<&'a str, String> {
+        let Some(text) = self.optional(key) else { return Ok(default) };
+        text.value.as_str().map_or_else(|| text.error("not text"), Ok)
+    }
+
+    pub(super) fn flag_or(&self, key: &str, default: bool) -> Result<bool, String> {
+        let Some(flag) = self.optional(key) else { return Ok(default) };
+        flag.value.as_bool().map_or_else(|| flag.error("not true or false"), Ok)
     }
 }
--- a/src/wire/settings.rs
+++ b/src/wire/settings.rs
@@ -63,11 +63,11 @@
     let mut classes = Vec::new();
     for item in &items {
         let time = |key: &str| item.required(key)?.number().map(Micros::from_ms);
-        let idempotency = match item.text_or("Effect", "read_like") {
+        let idempotency = match item.text_or("Effect", "read_like")? {
             "read_like" => Idempotency::Safe,
             "non_idempotent" => Idempotency::Unsafe,
             "idempotency_key" => Idempotency::Keyed {
-                scope: match item.text_or("KeyScope", "all") {
+                scope: match item.text_or("KeyScope", "all")? {
                     "all" => KeyScope::All,
                     "zone" | "same zone" => KeyScope::Zone,
                     "cell" | "same cell" => KeyScope::Cell,
@@ -139,7 +139,7 @@
             settings.tenants.push(Tenant { quota_per_s });
         }
     }
-    settings.discovery = match root.text_or("Discovery", "pushed") {
+    settings.discovery = match root.text_or("Discovery", "pushed")? {
         "pushed" => Discovery::Pushed,
         "on_request" => Discovery::OnRequest,
         _ => return root.required("Discovery")?.error("not pushed or on_request"),
@@ -163,7 +163,7 @@
         return max_attempts.error("not above zero");
     }
     settings.idle = limits.time_or_zero("Keepalive")?;
-    if limits.optional("RetryAfter").and_then(|c| c.value.as_bool()) == Some(true) {
+    if limits.flag_or("RetryAfter", false)? {
         settings.max_retry_after = limits.time_or_zero("MaxRetryAfter")?;
     }
     let rules = root.required("Rules")?;
