Run the operator's script on a thread of its own, within limits on each call

Cause: the script ran, and was compiled, on the one thread that serves. Only operations were counted, of which one may be a built-in function over a whole list, and sizes were bounded for each value only.

Change: net/hook.rs runs a script on its own thread; the serving thread hands calls over and never waits. Compiling at SIGHUP and of watched scripts is off the serving thread. The console shows hook_on, hook_waiting, hook_skipped_requests, hook_dropped_outcomes and hook_failures.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
-use crate::config::Config;
+use crate::config::{Config, ScriptCheck};
 use crate::records::{self, Finding, Findings};
 use crate::watch::check;
 use crate::{disk, log, net};
@@ -112,12 +112,13 @@
 fn command(command: Command) -> Result<(), Findings> {
     match command {
         Command::Serve { config: file, log_format, trace } => {
-            let config = read(file.as_deref())?;
+            let config = read(file.as_deref(), ScriptCheck::Compile)?;
             log::start(log_format);
-            net::run(&config, trace, move || read(file.as_deref())).map_err(|e| Finding::whole("", e).into())
+            let read_again = move || read(file.as_deref(), ScriptCheck::Defer);
+            net::run(&config, trace, read_again).map_err(|e| Finding::whole("", e).into())
         }
         Command::Check { config: file } => {
-            let config = read(file.as_deref())?;
+            let config = read(file.as_deref(), ScriptCheck::Compile)?;
             let text =
                 file.as_deref().map(|path| (path.display().to_string(), std::fs::read_to_string(path)));
             if let Some((name, Ok(text))) = text {
@@ -146,9 +147,9 @@
 }
 
 /// Reads the operator's file, or what the platform says.
-fn read(file: Option<&Path>) -> Result<Config, Findings> {
+fn read(file: Option<&Path>, check: ScriptCheck) -> Result<Config, Findings> {
     if let Some(file) = file {
-        return Config::operator(file);
+        return Config::operator(file, check);
     }
     let env: BTreeMap<String, String> = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
--- a/src/cli/quorum_calls.rs
+++ b/src/cli/quorum_calls.rs
@@ -5,7 +5,7 @@
 use clap::Subcommand;
 
 use super::say;
-use crate::config::Config;
+use crate::config::{Config, ScriptCheck};
 use crate::quorum::view::Status;
 use crate::quorum::{self, record};
 use crate::records::{Finding, Findings};
@@ -58,7 +58,7 @@
         file: path.display().to_string(),
         ..Finding::setting("quorum", "required for this command")
     };
-    Config::operator(path)?.quorum.ok_or_else(|| required().into())
+    Config::operator(path, ScriptCheck::Compile)?.quorum.ok_or_else(|| required().into())
 }
 
 pub(super) fn ask_quorum(ask: AskQuorum) -> Result<(), Findings> {
--- a/src/cli/seals.rs
+++ b/src/cli/seals.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use super::say;
-use crate::config::Config;
+use crate::config::{Config, ScriptCheck};
 use crate::disk;
 use crate::records::{Finding, Findings};
 use crate::watch::check;
@@ -13,7 +13,7 @@
     let sets = match config {
         None => vec![files],
         Some(path) => {
-            let Some(watch) = Config::operator(path)?.watch else {
+            let Some(watch) = Config::operator(path, ScriptCheck::Compile)?.watch else {
                 return Err(Finding {
                     file: path.display().to_string(),
                     ..Finding::setting("watch", "required")
--- a/src/config.rs
+++ b/src/config.rs
@@ -68,8 +68,26 @@
     pub eureka: Option<eureka::EurekaConfig>,
     /// The quorum, if this process is part of one.
     pub quorum: Option<quorum::QuorumConfig>,
-    /// The script, if there is one, and the operations it may do in a call.
-    pub hook: Option<(String, u64)>,
+    /// The operator's script, if there is one that is not watched.
+    pub hook: Option<HookConfig>,
+}
+
+/// The operator's script.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HookConfig {
+    /// Its text.
+    pub text: String,
+    /// The number of operations that one call may do.
+    pub operations: u64,
+}
+
+/// Whether the operator's script is compiled while a configuration is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ScriptCheck {
+    /// The script is compiled.
+    Compile,
+    /// The caller compiles it, on a thread that serves nobody.
+    Defer,
 }
 
 /// The WHIP front.
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -5,23 +5,27 @@
 use serde_json::json;
 
 use super::sections::{OPERATIONS, read_eureka, read_quorum, watched, whip};
-use super::{Config, Read};
-use crate::hook::Hook;
+use super::{Config, HookConfig, Read, ScriptCheck};
+use crate::hook::{CallLimits, Script};
 use crate::records::{Bounds, Finding, Findings, OperatorFile, Source};
 use crate::watch::judge;
 
 impl Config {
     /// Reads an operator's file. Paths in it start from its folder. All that is wrong is told, not only the first.
-    pub fn operator(path: &Path) -> Read<Config> {
+    pub fn operator(path: &Path, check: ScriptCheck) -> Read<Config> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path)
             .map_err(|e| Finding::whole(&name, format!("can't be read: {e}")))?;
         let base = path.parent().unwrap_or(Path::new(""));
-        Config::operator_text(&name, &text, base)
+        Config::read_operator_text(&name, &text, base, check)
     }
 
     /// Reads the text of an operator's file.
     pub fn operator_text(name: &str, text: &str, base: &Path) -> Read<Config> {
+        Config::read_operator_text(name, text, base, ScriptCheck::Compile)
+    }
+
+    fn read_operator_text(name: &str, text: &str, base: &Path, check: ScriptCheck) -> Read<Config> {
         let source = Source::new(name, text);
         let file: OperatorFile = source.read()?;
         // A finding of a part that was read on its own gets its line.
@@ -65,8 +69,11 @@
             let script = std::fs::read_to_string(base.join(&hook.script))
                 .map_err(|e| refused(format!("{}: can't be read: {e}", hook.script)))?;
             let operations = hook.operations.unwrap_or(OPERATIONS);
-            Hook::new(&script, operations).map_err(|e| refused(e.to_string()))?;
-            config.hook = Some((script, operations));
+            if check == ScriptCheck::Compile {
+                let limits = CallLimits::new(operations, config.memory);
+                Script::new(&script, limits).map_err(|e| refused(e.to_string()))?;
+            }
+            config.hook = Some(HookConfig { text: script, operations });
         }
         Ok(config)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod hook;
 pub mod http;
 pub mod log;
+pub mod memory;
 pub mod message;
 pub mod module;
 pub mod mutant;
--- a/src/net/files.rs
+++ b/src/net/files.rs
@@ -15,10 +15,11 @@
 use tracing::{info, warn};
 
 use super::clock::Clock;
-use super::{Handle, step, to_duration, unix_now};
+use super::{Handle, hook, step, to_duration, unix_now};
 use crate::api::{ListKind, Micros};
 use crate::config::{self, Config};
 use crate::disk::{self, Folder};
+use crate::hook::CallLimits;
 use crate::records::Bounds;
 use crate::roster::{GenerationChange, ListUpdate, OfferOutcome, Source};
 use crate::watch::judge::{self, Lists, Role};
@@ -40,6 +41,8 @@
 pub(super) struct WatchedFiles {
     config: WatchConfig,
     bounds: Bounds,
+    /// The memory that the process may use, in bytes.
+    memory_bytes: usize,
     requests: mpsc::Sender<Request>,
     /// Lists that are held back because they drop too many servers.
     held_lists: Option<Lists>,
@@ -92,12 +95,11 @@
             WatchEvent::Lists(lists, is_requested) => self.handle_lists(shared, lists, is_requested),
             WatchEvent::SameScript(digest) => info!(event = "script.same", digest = digest.short().as_str()),
             WatchEvent::Script(digest, text) => {
-                let operations = self.config.script.as_ref().map_or(0, |(_, operations)| *operations);
-                if step(shared, |node, _, _| node.replace_script(&text, operations)) {
-                    info!(event = "script.taken", digest = digest.short().as_str());
-                    self.script = Some(text);
-                    self.save(shared);
-                }
+                let digest = digest.short();
+                let log_taken = move || info!(event = "script.taken", digest = digest.as_str());
+                hook::replace(shared, text.clone(), self.call_limits(), log_taken);
+                self.script = Some(text);
+                self.save(shared);
             }
             WatchEvent::Withdrawn => {
                 self.held_lists = None;
@@ -164,6 +166,12 @@
         }
     }
 
+    /// Returns the limits on one call of the script.
+    fn call_limits(&self) -> CallLimits {
+        let operations = self.config.script.as_ref().map_or(0, |(_, operations)| *operations);
+        CallLimits::new(operations, self.memory_bytes)
+    }
+
     /// Returns the name of the file with a role.
     fn file_name(&self, role: Role) -> &str {
         self.config.lists.iter().find(|f| f.role == role).map_or(role.name(), |f| f.name.as_str())
@@ -244,9 +252,8 @@
                 }
             }
         }
-        if let (Some((_, operations)), Some(text)) = (&self.config.script, saved.text(Role::Script))
-            && shared.node.borrow_mut().replace_script(text, *operations)
-        {
+        if let (Some(_), Some(text)) = (&self.config.script, saved.text(Role::Script)) {
+            hook::replace(shared, text.to_owned(), self.call_limits(), || ());
             self.script = Some(text.to_owned());
         }
         self.restored = Some(saved);
@@ -302,6 +309,7 @@
     let mut files = WatchedFiles {
         config: watch_config.clone(),
         bounds: bounds.clone(),
+        memory_bytes: config.memory,
         requests: requests.clone(),
         held_lists: None,
         current_lists: None,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod ending;
 mod files;
 mod handover;
+mod hook;
 mod inherit;
 mod outbox;
 mod presence;
@@ -84,6 +85,8 @@
     queue_limits: QueueLimits,
     /// The timeouts that follow from the settings in use.
     timings: Cell<Timings>,
+    /// The operator's script.
+    script: hook::ScriptSlot,
     /// The hand-over with the process before and the one after this one, on platforms that replace a running version
     /// under load.
     handover: RefCell<Option<Rc<handover::Handover>>>,
@@ -126,6 +129,7 @@
             server_connection_closed: Notify::default(),
             queue_limits: QueueLimits::new(config.memory, &budget),
             timings: Cell::new(timings),
+            script: hook::ScriptSlot::default(),
             handover: RefCell::default(),
         })
     }
@@ -140,13 +144,15 @@
 fn step<T>(shared: &Handle, act: impl FnOnce(&mut Node, Micros, &mut Vec<Command>) -> T) -> T {
     let now = shared.now();
     let mut commands = Vec::new();
-    let (result, lines, trace_events, messages) = {
+    let (result, lines, trace_events, messages, calls) = {
         let mut node = shared.node.borrow_mut();
         if node.has_rules() {
             // The boot clock is read for each step, so that a decision after a stall uses the time after the stall.
             node.set_boot_time(quorum::boot_now());
         }
-        (act(&mut node, now, &mut commands), node.take_log(), node.take_trace(), node.take_messages())
+        let result = act(&mut node, now, &mut commands);
+        let calls = node.take_script_calls();
+        (result, node.take_log(), node.take_trace(), node.take_messages(), calls)
     };
     for (at, event) in trace_events {
         event.write(at.0);
@@ -205,6 +211,7 @@
             }
         }
     }
+    hook::hand_out(shared, calls);
     if !messages.is_empty() {
         let handover = shared.handover.borrow().clone();
         if let Some(handover) = handover {
--- a/src/net/run.rs
+++ b/src/net/run.rs
@@ -20,10 +20,11 @@
 use super::outbox::Notify;
 use super::registry::run_registry;
 use super::signals::{complete_list, handle_signals};
-use super::{Handle, Shared, files, handover, inherit, quorum, run_timers, step};
+use super::{Handle, Shared, files, handover, hook, inherit, quorum, run_timers, step};
 use crate::board::BoardClient;
 use crate::config::Config;
 use crate::eureka::Eureka;
+use crate::hook::CallLimits;
 use crate::node::Protocol;
 use crate::quorum::Incarnation;
 use crate::quorum::fronts::FleetPosition;
@@ -165,7 +166,13 @@
     let (board, known) = BoardClient::new(config.names.clone(), &config.known);
     let shared = Shared::new(config, board);
     shared.node.borrow_mut().trace(max_trace_lines_per_s);
+    if let Some(script) = &config.hook {
+        let limits = CallLimits::new(script.operations, config.memory);
+        hook::replace(&shared, script.text.clone(), limits, || ());
+    }
     let watched = start_discovery(&shared, config, known);
+    // No request is taken before the script can be asked.
+    async_io::block_on(shared.executor.run(shared.script.all_loaded()));
     let socket_path = || handover::socket_path(&std::env::temp_dir(), &config.name);
     let handover = config.inherited.map(|_| Handover::new(socket_path()));
     *shared.handover.borrow_mut() = handover.clone();
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -8,10 +8,11 @@
 use tracing::{info, warn};
 
 use super::outbox::Notify;
-use super::{Handle, files, quorum, step};
+use super::{Handle, files, hook, quorum, step};
 use crate::api::ListKind;
 use crate::board::BoardClient;
 use crate::config::Config;
+use crate::hook::{CallLimits, HookError};
 use crate::operate::missing_key::missing_key;
 use crate::records::Findings;
 use crate::roster::{ListUpdate, ListedServer, Source};
@@ -22,7 +23,7 @@
 }
 
 /// Applies a new configuration. An invalid one is logged, and the old one stays in force.
-fn reload(shared: &Handle, old: &mut Config, config: Result<Config, Findings>) {
+async fn reload(shared: &Handle, old: &mut Config, config: Result<Config, Findings>) {
     let new = match config {
         Ok(new) => new,
         Err(problem) => {
@@ -35,6 +36,14 @@
         shared.node.borrow_mut().record_reload(false);
         return warn!(event = "reload refused", problem = %format_args!("{field}: missing, but set in the configuration in force"));
     }
+    // The script is compiled on its own thread: this one serves meanwhile.
+    let script = match load_script(&new).await {
+        Ok(script) => script,
+        Err(problem) => {
+            shared.node.borrow_mut().record_reload(false);
+            return warn!(event = "reload refused", problem = %format_args!("hook.script: {problem}"));
+        }
+    };
     let mut unchangeable = old.fixed(&new);
     unchangeable.extend(step(shared, |node, now, out| node.reload(now, &new, out)));
     for field in &unchangeable {
@@ -57,11 +66,21 @@
     if shared.board_address.replace(new.board) != new.board {
         shared.board_address_changed.notify();
     }
+    if let Some(script) = script {
+        hook::put_in_use(shared, script);
+    }
     (old.board, old.known, old.servers, old.raw) = (new.board, new.known, new.servers, new.raw);
     shared.node.borrow_mut().record_reload(true);
     info!(event = "reloaded", last = shared.board.borrow().last_event());
 }
 
+/// Loads the script of a configuration, if it has one that is not watched.
+async fn load_script(config: &Config) -> Result<Option<hook::ScriptThread>, HookError> {
+    let Some(script) = &config.hook else { return Ok(None) };
+    let limits = CallLimits::new(script.operations, config.memory);
+    hook::load(script.text.clone(), limits).await.map(Some)
+}
+
 /// Handles signals for as long as the process runs: SIGHUP reloads, any other signal requests the shutdown.
 pub(super) async fn handle_signals(
     shared: Handle,
@@ -75,7 +94,7 @@
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
-                reload(&shared, &mut config, read_config());
+                reload(&shared, &mut config, read_config()).await;
                 files.iter().for_each(files::request_read);
             }
             signal => {
--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -4,7 +4,7 @@
 use super::{Node, name_at};
 use crate::api::*;
 use crate::broker::{Description, Effect, Input};
-use crate::hook::{Decision, HookError};
+use crate::hook::WaitingRequest;
 use crate::operate::figures::Outcome;
 use crate::platform::links::Command;
 use crate::platform::viewer;
@@ -15,7 +15,7 @@
     pub(super) fn submit_request(
         &mut self,
         now: Micros,
-        mut request: Request,
+        request: Request,
         offer: Description,
         out: &mut Vec<Command>,
     ) {
@@ -33,36 +33,11 @@
         if let Err(wait) = self.check_rate_limit(now, &request) {
             return self.apply_effect(now, Effect::Refused(request.id, wait), out);
         }
-        if let Some(hook) = &mut self.hook {
-            let (class, tenant) =
-                (name_at(&self.names.classes, request.class), name_at(&self.names.tenants, request.tenant));
-            let decision = hook.on_request(&request, class, tenant);
-            match self.disable_failed_hook(decision) {
-                Some(Decision::Refuse(wait)) => {
-                    return self.apply_effect(now, Effect::Refused(request.id, wait), out);
-                }
-                Some(Decision::Pass(top)) => request.top = top,
-                None => {}
-            }
-        }
-        self.handle_input(now, Input::Request(request, offer), out);
-    }
-
-    /// Logs an error of the operator's script and disables the script; the broker goes on without it.
-    pub(super) fn disable_failed_hook<T>(&mut self, result: Result<T, HookError>) -> Option<T> {
-        match result {
-            Ok(value) => Some(value),
-            Err(error) => {
-                self.log.push(format!("hook off reason={error}"));
-                self.hook = None;
-                None
-            }
-        }
+        self.ask_script(now, WaitingRequest { request, offer }, out);
     }
 
     /// Reports the outcome of a request to the operator's script.
-    pub(super) fn report_outcome(&mut self, effect: &Effect) {
-        let Some(hook) = &mut self.hook else { return };
+    fn report_outcome(&mut self, now: Micros, effect: &Effect) {
         let (id, outcome) = match effect {
             Effect::Established(id, _) => (*id, "plays"),
             Effect::Refused(id, _) => (*id, "refused"),
@@ -71,8 +46,7 @@
             Effect::Moved(id) => (*id, "moved"),
             _ => return,
         };
-        let result = hook.on_outcome(id, outcome);
-        self.disable_failed_hook(result);
+        self.hook.report_outcome(now, id, outcome);
     }
 
     /// Passes an input to the core and carries out the effects.
@@ -83,6 +57,9 @@
         if let Some(tracer) = &mut self.tracer {
             tracer.record_input(now, &input);
         }
+        if self.concerns_waiting_request(&input) {
+            return;
+        }
         let mut effects = Vec::new();
         self.broker.handle(now, input, &mut effects);
         for effect in effects {
@@ -90,9 +67,24 @@
         }
     }
 
+    /// Whether an input concerns a request that waits for the script, of which the core does not know yet: its client
+    /// has withdrawn it, or names a session under its id.
+    fn concerns_waiting_request(&mut self, input: &Input) -> bool {
+        match input {
+            Input::ClientLeft(id) => self.hook.withdraw(*id),
+            Input::ExistingSession(request, _) => self.hook.contains(request.id),
+            _ => false,
+        }
+    }
+
+    /// Whether a request or a session is known, in the core or on its way there.
+    pub(super) fn has_session(&self, id: SessionId) -> bool {
+        self.broker.has_session(id) || self.hook.contains(id)
+    }
+
     /// Carries out one effect of the core.
     pub(super) fn apply_effect(&mut self, now: Micros, effect: Effect, out: &mut Vec<Command>) {
-        self.report_outcome(&effect);
+        self.report_outcome(now, &effect);
         if let Some(tracer) = &mut self.tracer {
             tracer.record_effect(now, &effect);
         }
--- a/src/node/ending.rs
+++ b/src/node/ending.rs
@@ -36,6 +36,7 @@
 impl Node {
     /// Sets the time by which each request must have its answer, as the process ends.
     pub fn set_shutdown_deadline(&mut self, now: Micros, at: Micros, out: &mut Vec<Command>) {
+        self.release_from_script(now, out);
         self.handle_input(now, Input::ShutdownDeadline(at), out);
     }
 
@@ -44,6 +45,7 @@
     /// start at once.
     pub fn stop(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.phase.begin_shutdown();
+        self.release_from_script(now, out);
         self.handle_input(now, Input::WarmUpTurnsFrom(Micros::MAX), out);
         if let Some(whip) = &mut self.whip {
             whip.keep(false);
@@ -52,6 +54,7 @@
 
     /// Releases all sessions, as the program exits and no process would hold them.
     pub fn shut_down(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.release_from_script(now, out);
         self.handle_input(now, Input::Shutdown, out);
         self.close_clients_when_stopping(out);
     }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -35,6 +35,7 @@
     pub fn yield_to_successor(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.phase.yield_to_successor();
         self.next_drain_check = now;
+        self.release_from_script(now, out);
         self.handle_input(now, Input::WarmUpTurnsFrom(Micros::MAX), out);
         let established: Vec<SessionId> = self.broker.established_ids();
         for id in established {
@@ -134,7 +135,7 @@
     /// to a server is queued, or a draining server with sessions that were handed over is connected here.
     /// Such a server refuses new connections, so this is the only way for its messages.
     pub fn has_waiting_clients(&self) -> bool {
-        self.broker.unanswered() > 0
+        self.open_counts().0 > 0
             || !self.viewers.is_empty()
             || self.links.has_queued_writes()
             || self
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -16,8 +16,10 @@
     ) {
         let mut actions = Vec::new();
         if let Some(whip) = &mut self.whip {
-            let (broker, links, pool) = (&self.broker, &self.links, &self.pool);
-            act(whip, &|id| broker.has_no_attempt(id) || links.waits(id) || pool.waits(id), &mut actions);
+            let (broker, links, pool, hook) = (&self.broker, &self.links, &self.pool, &self.hook);
+            let nothing_ran =
+                |id| broker.has_no_attempt(id) || links.waits(id) || pool.waits(id) || hook.contains(id);
+            act(whip, &nothing_ran, &mut actions);
         }
         for action in actions {
             match action {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod effects;
 mod ending;
 mod handover;
+mod hook;
 mod http;
 mod leaving;
 mod operate;
@@ -20,7 +21,7 @@
 use crate::broker::{Broker, Input};
 use crate::config::Config;
 use crate::edge::Pool;
-use crate::hook::Hook;
+use crate::hook::HookQueue;
 use crate::operate::{figures::Metrics, handover::Message, phase::Phase};
 use crate::platform::links::{Command, ConnId, Links};
 use crate::platform::timings::Timings;
@@ -34,6 +35,8 @@
 /// Share of the memory for sessions and their descriptions. Set-ups that wait for a server hold their
 /// description once more, and the program and its buffers need the rest.
 const SESSION_MEMORY_DIVISOR: usize = 4;
+/// Share of the memory for requests that wait for the operator's script.
+const HOOK_MEMORY_DIVISOR: usize = 32;
 /// Separates the random ids of the WHIP front from the random numbers of the module.
 const WHIP_SEED: u64 = 0x5748_4950;
 /// Time between inspections of connections and silent servers.
@@ -68,7 +71,8 @@
     pool: Pool,
     viewers: BTreeMap<ConnId, ViewerConn>,
     whip: Option<whip::WhipFront>,
-    hook: Option<Hook>,
+    /// Requests that wait for the operator's script.
+    hook: HookQueue,
     /// The client connection on which each session was set up.
     session_conns: BTreeMap<SessionId, ConnId>,
     /// Session ends that could not be sent as no suitable connection was open, with the time at which each
@@ -128,7 +132,7 @@
                     config.seed ^ WHIP_SEED,
                 )
             }),
-            hook: config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok()),
+            hook: HookQueue::new(config.memory / HOOK_MEMORY_DIVISOR),
             session_conns: BTreeMap::new(),
             pending_ends: VecDeque::new(),
             max_pending_ends: viewers::max_pending_ends(config.memory),
@@ -161,7 +165,7 @@
 
     /// Returns the number of unanswered requests and the number of established sessions.
     pub fn open_counts(&self) -> (usize, usize) {
-        (self.broker.unanswered(), self.broker.established())
+        (self.broker.unanswered() + self.hook.waiting(), self.broker.established())
     }
 
     /// Returns the counts of this broker for the record of the fleet.
@@ -187,14 +191,6 @@
         }
     }
 
-    /// Replaces the script. Returns false and keeps the old script if the new one can't be used.
-    pub fn replace_script(&mut self, text: &str, operations: u64) -> bool {
-        let hook = Hook::new(text, operations).ok();
-        let is_valid = hook.is_some();
-        self.hook = hook.or(self.hook.take());
-        is_valid
-    }
-
     /// Whether any session is established at a server.
     pub fn has_sessions_at(&self, server: &ServerId) -> bool {
         self.broker.has_established_at(server)
@@ -223,13 +219,15 @@
 
     /// The time at which [`Node::tick`] must be called next.
     pub fn next_alarm(&self) -> Micros {
-        let alarms = [self.broker.next_alarm(), self.links.next_due(), self.pool.next_due()];
+        let alarms =
+            [self.broker.next_alarm(), self.links.next_due(), self.pool.next_due(), self.hook.next_due()];
         alarms.into_iter().flatten().fold(self.next_inspection.min(self.next_drain_check), Micros::min)
     }
 
     /// Does what is due at this time.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.links.write_due(now, out);
+        self.expire_script_calls(now, out);
         self.pool.tick(now, out);
         self.close_unneeded_clients(now, out);
         self.handle_input(now, Input::Tick, out);
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -57,6 +57,7 @@
             session_bytes: self.broker.session_bytes(),
             memory_refusals: self.broker.memory_refusals(),
             titles: self.broker.title_stats(),
+            hook: self.hook_stats(),
         };
         self.metrics.render(gauges)
     }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -4,7 +4,6 @@
 use crate::api::Micros;
 use crate::broker::Input;
 use crate::config::Config;
-use crate::hook::Hook;
 use crate::operate::settings::{MergedSettings, merge};
 use crate::platform::links::Command;
 use crate::platform::timings::Timings;
@@ -12,7 +11,7 @@
 use crate::watch::judge::Role;
 
 impl Node {
-    /// Applies the settings, the front and the script of a new configuration. Waiting requests and playing
+    /// Applies the settings and the front of a new configuration. Waiting requests and playing
     /// sessions go on as they were accepted. Returns the fields that take effect only after a restart.
     pub fn reload(&mut self, now: Micros, config: &Config, out: &mut Vec<Command>) -> Vec<&'static str> {
         let titles = self.whip.iter().flat_map(|whip| whip.titles().values().map(|t| (t.class, t.tenant)));
@@ -37,13 +36,10 @@
         &self.names
     }
 
-    /// Applies the front and the script of a new configuration; waiting requests and playing sessions are
-    /// unaffected. Watched titles and a watched script stay as their files have them.
+    /// Applies the front of a new configuration; waiting requests and playing sessions are unaffected. Watched
+    /// titles stay as their files have them.
     fn reload_front(&mut self, config: &Config, merged: &MergedSettings) {
         let watch = config.watch.as_ref();
-        if watch.is_none_or(|w| w.script.is_none()) {
-            self.hook = config.hook.as_ref().and_then(|(text, operations)| Hook::new(text, *operations).ok());
-        }
         if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
             let mut setup = new.setup.clone();
             for title in setup.titles.values_mut() {
--- a/src/node/viewers.rs
+++ b/src/node/viewers.rs
@@ -50,7 +50,7 @@
             }
             ViewerMessage::Release(id) => {
                 self.forget_session(id);
-                if self.broker.has_session(id) {
+                if self.has_session(id) {
                     self.handle_input(now, Input::ClientLeft(id), out);
                 } else {
                     self.forward_client_left(id);
@@ -58,7 +58,7 @@
             }
             ViewerMessage::SetUp(request, description) => {
                 let id = request.id;
-                if self.broker.has_session(id) {
+                if self.has_session(id) {
                     return self.reject_reused_id(now, conn, id, out);
                 }
                 self.session_conns.insert(id, conn);
@@ -67,7 +67,7 @@
                 }
                 self.submit_request(now, request, description.into_bytes().into(), out);
             }
-            ViewerMessage::Invalid(id, _) if self.broker.has_session(id) => {
+            ViewerMessage::Invalid(id, _) if self.has_session(id) => {
                 self.reject_reused_id(now, conn, id, out)
             }
             ViewerMessage::Invalid(id, class) => {
--- a/src/operate/figures.rs
+++ b/src/operate/figures.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write as _;
 
 use crate::api::{SessionId, TitleStats};
+use crate::hook::HookStats;
 
 /// The number of answered requests that are kept to count attempts whose write completes after the answer.
 const MAX_RECENT_REQUESTS: usize = 256;
@@ -56,6 +57,8 @@
     pub memory_refusals: u64,
     /// The decision module's table of titles.
     pub titles: TitleStats,
+    /// The operator's script.
+    pub hook: HookStats,
 }
 
 /// The counters of the process.
@@ -148,6 +151,11 @@
         line("titles", gauges.titles.titles as u64);
         line("idle_title_bytes", gauges.titles.idle_bytes as u64);
         line("titles_evicted", gauges.titles.evicted);
+        line("hook_on", u64::from(gauges.hook.is_on));
+        line("hook_waiting", gauges.hook.waiting as u64);
+        line("hook_skipped_requests", gauges.hook.skipped_requests);
+        line("hook_dropped_outcomes", gauges.hook.dropped_outcomes);
+        line("hook_failures", gauges.hook.failures);
         line("cfg_accepted", self.files_accepted);
         line("cfg_invalid", self.files_invalid);
         text
@@ -188,6 +196,13 @@
             session_bytes: 6000,
             memory_refusals: 7,
             titles: TitleStats { titles: 8, idle_bytes: 900, evicted: 10 },
+            hook: HookStats {
+                is_on: true,
+                waiting: 11,
+                skipped_requests: 12,
+                dropped_outcomes: 13,
+                failures: 14,
+            },
         };
         let expected = "broker.operations.clip.fulfilled=0\nbroker.operations.clip.throttled=0\n\
             broker.operations.clip.faulted=0\nbroker.operations.clip.relayed=0\n\
@@ -198,7 +213,9 @@
             broker.open_requests=5\nbroker.unanswered_requests=1\nbroker.playing_sessions=4\n\
             broker.client_connections=3\nbroker.registry_entries=13\nbroker.out_of_rotation=2\n\
             broker.session_bytes=6000\nbroker.memory_refusals=7\nbroker.titles=8\n\
-            broker.idle_title_bytes=900\nbroker.titles_evicted=10\n\
+            broker.idle_title_bytes=900\nbroker.titles_evicted=10\nbroker.hook_on=1\n\
+            broker.hook_waiting=11\nbroker.hook_skipped_requests=12\n\
+            broker.hook_dropped_outcomes=13\nbroker.hook_failures=14\n\
             broker.cfg_accepted=1\nbroker.cfg_invalid=2\n";
         assert_eq!(metrics.render(gauges), expected);
         assert_eq!(metrics.tracked_entries(), 0);
--- a/src/watch/judge.rs
+++ b/src/watch/judge.rs
@@ -6,7 +6,7 @@
 
 use super::seal::{self, Comment, SealError};
 use crate::api::{Micros, ServerEntry, ServerId};
-use crate::hook::Hook;
+use crate::hook::{CallLimits, Script};
 use crate::records::{
     Bounds, Finding, Findings, ServerRecord, ServersFile, Source, TitleRecord, TitlesFile, WeightsFile,
 };
@@ -267,7 +267,9 @@
 ) -> Result<(Digest, String), Refusal> {
     let files = std::slice::from_ref(file);
     let text = texts(files, std::slice::from_ref(reading), &|_| renamed)?.remove(0);
-    Hook::new(&text.text, operations).map_err(|e| Findings::from(Finding::whole(&file.name, e)))?;
+    // It is compiled only.
+    let limits = CallLimits::new(operations, usize::MAX);
+    Script::new(&text.text, limits).map_err(|e| Findings::from(Finding::whole(&file.name, e)))?;
     Ok((text.digest, text.text))
 }
 
