--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 mod room;
 mod run;
 mod signals;
+mod timers;
 
 #[cfg(test)]
 mod tests;
@@ -34,8 +35,7 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
-use futures_lite::future;
+use async_io::Async;
 use tracing::info;
 
 use crate::api::{Micros, SessionId};
@@ -232,22 +232,3 @@
     let act: NodeAction = Box::new(move |node, now, out| node.withdrawn(now, conn, id, out));
     step(shared, act);
 }
-
-/// Runs the node's alarms when they are due.
-async fn run_timers(shared: Handle) {
-    loop {
-        let wait = to_duration(shared.node.borrow().next_alarm() - shared.now());
-        if !wait.is_zero() {
-            let timer = async {
-                Timer::after(wait).await;
-            };
-            future::or(shared.alarm_changed.notified(), timer).await;
-        }
-        // Readers that were woken together with this task run first: input that has arrived is handled before an
-        // alarm.
-        future::yield_now().await;
-        if shared.node.borrow().next_alarm() <= shared.now() {
-            step(&shared, |node, now, out| node.tick(now, out));
-        }
-    }
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod operate;
 mod ruled;
 mod servers;
+mod session_ends;
 mod settings;
 mod viewer_conn;
 mod viewers;
@@ -135,7 +136,7 @@
             hook: HookQueue::new(config.memory / HOOK_MEMORY_DIVISOR),
             session_conns: BTreeMap::new(),
             pending_ends: VecDeque::new(),
-            max_pending_ends: viewers::max_pending_ends(config.memory),
+            max_pending_ends: session_ends::max_pending_ends(config.memory),
             servers: BTreeMap::new(),
             next_inspection: Micros(0),
             phase: Phase::default(),
