Show viewers served with other viewers' sessions after one second answer

Cause: a kept connection to a media server carries the next set-up at once, and a second copy of an answer that comes some milliseconds late is taken for its answer; from then on all answers on the connection are one off.

--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -685,8 +685,8 @@
     /// Makes a session and breaks the connection off without an answer, the first time that it or another server of
     /// the same book is asked with an offer; answers from then on.
     BreaksFirst,
-    /// Answers after this time, and sends the same answer once more after the second.
-    Twice(Duration, Duration),
+    /// Answers after the first time, and sends the answer of the second set-up in the book once more after the second.
+    OneTwice(Duration, Duration),
 }
 
 /// A set-up at a media server.
@@ -805,7 +805,7 @@
         );
         let (wait, again) = match does {
             Does::Answers(wait) => (wait, None),
-            Does::Twice(wait, again) => (wait, Some(again)),
+            Does::OneTwice(wait, again) => (wait, (i == 1).then_some(again)),
             Does::BreaksFirst if !is_first => (ms(20), None),
             Does::BreaksFirst => {
                 self.record.line(&format!("media {}: breaks off without an answer to {place}", self.name));
