Show a session with two attempts out at once after one late answer

Cause: an attempt at a media server that timed out is taken for given up, though its connection stays open and nothing tells the server; the next attempt leaves at once.

--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -685,6 +685,8 @@
     /// Makes a session and breaks the connection off without an answer, the first time that it or another server of
     /// the same book is asked with an offer; answers from then on.
     BreaksFirst,
+    /// Answers after the first time; the first set-up in the book after the second.
+    FirstLate(Duration, Duration),
     /// Answers after the first time, and sends the answer of the second set-up in the book once more after the second.
     OneTwice(Duration, Duration),
 }
@@ -805,6 +807,7 @@
         );
         let (wait, again) = match does {
             Does::Answers(wait) => (wait, None),
+            Does::FirstLate(wait, late) => (if i == 0 { late } else { wait }, None),
             Does::OneTwice(wait, again) => (wait, (i == 1).then_some(again)),
             Does::BreaksFirst if !is_first => (ms(20), None),
             Does::BreaksFirst => {
