--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -6,7 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::{AsRawFd, FromRawFd, RawFd};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -51,9 +51,19 @@
     }
 }
 
-/// Ends the case because it could not run.
+/// Processes that were started and not waited for yet, and folders that were made.
+static STARTED: Mutex<(Vec<u32>, Vec<PathBuf>)> = Mutex::new((Vec::new(), Vec::new()));
+
+/// Ends the case because it could not run, and with it what it has started.
 pub fn give_up(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    let (children, folders) = std::mem::take(&mut *lock(&STARTED));
+    for pid in children {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {pid}")]).status();
+    }
+    for folder in folders {
+        let _ = std::fs::remove_dir_all(folder);
+    }
     std::process::exit(COULD_NOT_RUN)
 }
 
@@ -79,6 +89,7 @@
         let unique = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
         let path = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap_or_else(|e| give_up(&format!("no folder: {e}")));
+        lock(&STARTED).1.push(path.clone());
         TempDir(path)
     }
 
@@ -137,6 +148,7 @@
             });
         }
         record.line(&format!("broker started, pid {}", child.id()));
+        lock(&STARTED).0.push(child.id());
         Broker { child, log }
     }
 
@@ -168,6 +180,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        lock(&STARTED).0.retain(|pid| *pid != self.child.id());
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -186,7 +199,6 @@
 
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-    fn listen(fd: i32, backlog: i32) -> i32;
 }
 
 /// Makes the close of a connection a reset.
@@ -196,16 +208,6 @@
     unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr(), 8) };
 }
 
-/// Sets the length of a listening socket's queue.
-pub fn set_backlog(listener: &TcpListener, backlog: i32) {
-    unsafe { listen(listener.as_raw_fd(), backlog) };
-}
-
-/// Takes a descriptor over as a listening socket.
-pub fn listener_of(fd: RawFd) -> TcpListener {
-    unsafe { TcpListener::from_raw_fd(fd) }
-}
-
 pub fn bind(address: &str) -> TcpListener {
     TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("{address}: {e}")))
 }
@@ -387,26 +389,10 @@
         self.record.line(&format!("edge {}: notes on {id:016x}", self.name));
     }
 
-    /// A session that plays here since before the broker started.
-    pub fn plays_already(&self, id: u64) {
-        lock(&self.state).playing.insert(id, 0);
-        self.record.line(&format!("edge {}: {id:016x} plays here", self.name));
-    }
-
     pub fn plays(&self, id: u64) -> bool {
         lock(&self.state).playing.contains_key(&id)
     }
 
-    /// Its machine vanishes: its connections stay open and silent, its sessions are cut. Returns the sessions.
-    pub fn vanish(&self) -> Vec<u64> {
-        self.alive.store(false, Ordering::SeqCst);
-        let cut: Vec<u64> = std::mem::take(&mut lock(&self.state).playing).into_keys().collect();
-        self.record.line(&format!("edge {}: vanishes; sessions cut: {cut:016x?}", self.name));
-        // Until its threads have seen it.
-        thread::sleep(ms(20));
-        cut
-    }
-
     /// It dies as a process does: its connections are reset, its sessions are cut, its port is free.
     pub fn die(&self) {
         self.alive.store(false, Ordering::SeqCst);
@@ -427,10 +413,6 @@
     }
 }
 
-impl Drop for Edge {
-    fn drop(&mut self) {}
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // The notice board
 
@@ -524,20 +506,6 @@
         self.record.line(&format!("board: event {id} is posted: {data}"));
         lock(&self.events).push((id, data));
     }
-
-    /// From now on it can't be reached: connections are closed, and none is accepted.
-    pub fn go_down(&self) {
-        self.record.line("board: out of reach from now on");
-        self.up.store(false, Ordering::SeqCst);
-        thread::sleep(ms(50));
-    }
-
-    /// It can be reached again.
-    pub fn come_back(&self) {
-        self.record.line("board: within reach again");
-        self.up.store(true, Ordering::SeqCst);
-        self.serve(bind(&self.address.to_string()));
-    }
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -685,8 +653,6 @@
     /// Makes a session and breaks the connection off without an answer, the first time that it or another server of
     /// the same book is asked with an offer; answers from then on.
     BreaksFirst,
-    /// Answers after the first time; the first set-up in the book after the second.
-    FirstLate(Duration, Duration),
     /// Answers after the first time, and sends the answer of the second set-up in the book once more after the second.
     OneTwice(Duration, Duration),
 }
@@ -807,7 +773,6 @@
         );
         let (wait, again) = match does {
             Does::Answers(wait) => (wait, None),
-            Does::FirstLate(wait, late) => (if i == 0 { late } else { wait }, None),
             Does::OneTwice(wait, again) => (wait, (i == 1).then_some(again)),
             Does::BreaksFirst if !is_first => (ms(20), None),
             Does::BreaksFirst => {
