Lay the second review's cases out by the formatter

Cause: the cases stand outside the workspace, so that the formatter had not seen them. Change: layout only.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -36,7 +36,9 @@
         );
     }
     let sent = stream.write_all(text.as_bytes()).is_ok();
-    record.line(&format!("bad client {n}: {OF_ONE} set-ups with at, of sessions that no server knows; sent: {sent}"));
+    record.line(&format!(
+        "bad client {n}: {OF_ONE} set-ups with at, of sessions that no server knows; sent: {sent}"
+    ));
     // It reads whatever is sent to it, and leaves after a second.
     let _ = stream.set_read_timeout(Some(ms(100)));
     let (end, mut piece) = (Instant::now() + ms(1000), [0; 4096]);
@@ -102,7 +104,10 @@
         let told = viewer.first(*id, "answer").or_else(|| viewer.first(*id, "release"));
         if told.is_none_or(|told| told.at > *at + ms(LEFT) + SLACK) {
             lost += 1;
-            record.line(&format!("judged: the request {id:016x}, {:.1} s after the start, got no answer in time", (*at - began).as_secs_f64()));
+            record.line(&format!(
+                "judged: the request {id:016x}, {:.1} s after the start, got no answer in time",
+                (*at - began).as_secs_f64()
+            ));
         }
     }
     record.line(&format!("judged: {lost} of {} usual requests got no answer in time", asked.len()));
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -21,19 +21,24 @@
     let servers: Vec<Media> =
         ["a", "b", "c"].iter().map(|n| Media::start(&record, n, Does::Answers(ms(30)), &book)).collect();
     let files = TempDir::create();
-    let mut head = String::from("name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[[title]]\nname = \"living-room\"\nclass = \"walkround\"\nhome = 0\ncopies = 3\n");
+    let mut head = String::from(
+        "name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[[title]]\nname = \"living-room\"\nclass = \"walkround\"\nhome = 0\ncopies = 3\n",
+    );
     for (cell, server) in servers.iter().enumerate() {
         head += &format!(
             "[[server]]\nid = \"media-{}\"\nurl = \"http://{}/whep/{{title}}?rung={{rung}}&of={{session}}\"\ncell = {cell}\n",
             server.name, server.address
         );
     }
-    let classes = [Class { name: "walkround", slo: 1500, deadline: 5000, effect: "non_idempotent", live: false }];
+    let classes =
+        [Class { name: "walkround", slo: 1500, deadline: 5000, effect: "non_idempotent", live: false }];
     let config = files.write("operator.toml", &format!("{head}{}", settings::toml(&classes)));
     let mut broker = Broker::operator(&record, &config);
     let front = broker.front("http");
     thread::sleep(ms(500));
-    let offer = |n: usize| format!("v=0\r\no=viewer-{n} 1 1 IN IP4 127.0.0.1\r\ns=-\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n");
+    let offer = |n: usize| {
+        format!("v=0\r\no=viewer-{n} 1 1 IN IP4 127.0.0.1\r\ns=-\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n")
+    };
     let mut served = 0;
     for n in 0..BOOKINGS {
         let path = format!("/whep/living-room/bookings/b{n}");
@@ -67,9 +72,13 @@
     let posts = lock(&book).posts.clone();
     let (mut broken, mut twice) = (false, 0);
     for n in 0..BOOKINGS {
-        let places: Vec<&str> = posts.iter().filter(|p| p.offer == offer(n)).map(|p| p.place.as_str()).collect();
+        let places: Vec<&str> =
+            posts.iter().filter(|p| p.offer == offer(n)).map(|p| p.place.as_str()).collect();
         if places.len() > 1 {
-            record.line(&format!("judged: the paid session of booking b{n} was set up {} times: {places:?}", places.len()));
+            record.line(&format!(
+                "judged: the paid session of booking b{n} was set up {} times: {places:?}",
+                places.len()
+            ));
             twice += 1;
             broken = true;
         }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -24,15 +24,19 @@
     let servers: Vec<Media> =
         ["a", "b", "c"].iter().map(|n| Media::start(&record, n, Does::Answers(ms(20)), &book)).collect();
     let files = TempDir::create();
-    let mut head =
-        String::from("name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[watch]\ntitles = \"titles.toml\"\n");
+    let mut head = String::from(
+        "name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[watch]\ntitles = \"titles.toml\"\n",
+    );
     for (cell, server) in servers.iter().enumerate() {
         head += &format!(
             "[[server]]\nid = \"media-{}\"\nurl = \"http://{}/whep/{{title}}?rung={{rung}}&of={{session}}\"\ncell = {cell}\n",
             server.name, server.address
         );
     }
-    let titles = files.write("titles.toml", "[[title]]\nname = \"living-room\"\nclass = \"walkround\"\nhome = 0\ncopies = 3\n");
+    let titles = files.write(
+        "titles.toml",
+        "[[title]]\nname = \"living-room\"\nclass = \"walkround\"\nhome = 0\ncopies = 3\n",
+    );
     let sealed = Command::new("target/release/amberspindle").arg("seal").arg(&titles).status();
     if !sealed.is_ok_and(|s| s.success()) {
         give_up("the titles can't be sealed");
@@ -63,7 +67,8 @@
     }
     let mut statuses = Vec::new();
     for n in 0..4 {
-        let offer = format!("v=0\r\no=viewer-{n} 1 1 IN IP4 127.0.0.1\r\ns=-\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n");
+        let offer =
+            format!("v=0\r\no=viewer-{n} 1 1 IN IP4 127.0.0.1\r\ns=-\r\nm=video 9 UDP/TLS/RTP/SAVPF 96\r\n");
         for path in ["/whep/living-room".to_owned(), format!("/whep/living-room/bookings/b{n}")] {
             let Ok(mut stream) = TcpStream::connect(front) else { give_up("the front takes no connection") };
             record.line(&format!("viewer {n}: POST {path}"));
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -34,7 +34,9 @@
     let files = TempDir::create();
     files.write("hook.rhai", script);
     record.line(&format!("the plug-in: {}", script.replace('\n', " ")));
-    let mut head = String::from("name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[hook]\nscript = \"hook.rhai\"\noperations = 1000000\n");
+    let mut head = String::from(
+        "name = \"showroom\"\n[whip]\nlisten = \"127.0.0.1:0\"\n[hook]\nscript = \"hook.rhai\"\noperations = 1000000\n",
+    );
     for title in ["flat-pack", "new-lamp"] {
         head += &format!("[[title]]\nname = \"{title}\"\nclass = \"guide\"\nhome = 0\ncopies = 3\n");
     }
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -278,7 +278,13 @@
 }
 
 impl Edge {
-    pub fn start(record: &Record, name: &str, listener: TcpListener, delay: Duration, notes_every: Duration) -> Edge {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        listener: TcpListener,
+        delay: Duration,
+        notes_every: Duration,
+    ) -> Edge {
         let edge = Edge {
             name: name.to_owned(),
             address: address_of(&listener),
@@ -339,7 +345,8 @@
             while let Some((kind, id, parameters)) = take_message(&mut buffer) {
                 match kind {
                     SET_UP => {
-                        self.record.line(&format!("edge {}: set-up {id:016x} on connection {conn}", self.name));
+                        self.record
+                            .line(&format!("edge {}: set-up {id:016x} on connection {conn}", self.name));
                         lock(&self.state).set_ups.push((id, Instant::now()));
                         let own = self.clone();
                         thread::spawn(move || {
@@ -380,7 +387,8 @@
     fn send_notes(&self) {
         let mut state = lock(&self.state);
         let Some((id, conn)) = state.playing.iter().next().map(|(id, conn)| (*id, *conn)) else { return };
-        let on = if state.conns.contains_key(&conn) { Some(conn) } else { state.conns.keys().next().copied() };
+        let on =
+            if state.conns.contains_key(&conn) { Some(conn) } else { state.conns.keys().next().copied() };
         let Some(stream) = on.and_then(|on| state.conns.get_mut(&on)) else { return };
         for what in [&b"wire"[..], b"trunk"] {
             let _ = stream.write_all(&message(NOTE, id, &[(10, what), (15, b"0.2")]));
@@ -484,7 +492,8 @@
         }
         let mut commented = Instant::now();
         while self.up.load(Ordering::SeqCst) {
-            let news: Vec<(u64, String)> = lock(&self.events).iter().filter(|e| e.0 > last).cloned().collect();
+            let news: Vec<(u64, String)> =
+                lock(&self.events).iter().filter(|e| e.0 > last).cloned().collect();
             for (id, data) in news {
                 if stream.write_all(format!("id: {id}\ndata: {data}\n\n").as_bytes()).is_err() {
                     return;
@@ -599,7 +608,8 @@
 pub fn take_http(buffer: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
     let end = buffer.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-    let length = head.lines().find_map(|l| l.to_lowercase().strip_prefix("content-length:").map(str::to_owned));
+    let length =
+        head.lines().find_map(|l| l.to_lowercase().strip_prefix("content-length:").map(str::to_owned));
     let length: usize = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
     let body = buffer.get(end..end + length)?.to_vec();
     buffer.drain(..end + length);
@@ -640,8 +650,10 @@
 pub fn write_request(stream: &mut TcpStream, method: &str, path: &str, offer: Option<&str>) -> bool {
     let body = offer.unwrap_or("");
     let kind = if offer.is_some() { "Content-Type: application/sdp\r\n" } else { "" };
-    let head =
-        format!("{method} {path} HTTP/1.1\r\nHost: broker\r\n{kind}Content-Length: {}\r\n\r\n{body}", body.len());
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: broker\r\n{kind}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(head.as_bytes()).is_ok()
 }
 
@@ -790,7 +802,8 @@
             match stream.peek(&mut probe) {
                 Ok(0) => {
                     lock(&self.book).posts[i].ended = Some(Instant::now());
-                    self.record.line(&format!("media {}: connection of {place} closed by the broker", self.name));
+                    self.record
+                        .line(&format!("media {}: connection of {place} closed by the broker", self.name));
                     return false;
                 }
                 _ => thread::sleep(ms(1)),
