Plan rungs by groups of streams and bound sessions that no server confirms

Cause: `plan_changes` looked at every session of the rack for each step, and `cut_rungs` computed `own_share` over all sessions once for each session, at each attempt and each note. And a named session stayed until a server ended it, which never happens for one that the server does not have.

Change: the streams of each server are kept in groups of equal figures, so a plan visits groups and steps. Viewers of a stream, streams in use and the sessions of a client's connection are looked up, not searched for. Named sessions are unconfirmed until their server sends a note on them and may fill half of the memory for sessions; the oldest, after 10 minutes, gives its place up when that half is full. Gauges unconfirmed_sessions, unconfirmed_refused, unconfirmed_expired.

--- a/src/broker/input.rs
+++ b/src/broker/input.rs
@@ -17,8 +17,10 @@
     FleetPosition(u32, u32),
     /// A client requests a session and sends its session description.
     Request(Request, Description),
-    /// A session that is already established at a server.
+    /// A session that is already established at a server, as another process of this broker says.
     ExistingSession(Request, ServerId),
+    /// A session that is already established at a server, as a client says.
+    NamedSession(Request, ServerId),
     /// The client withdrew its request or ended its session.
     ClientLeft(SessionId),
     /// A server answered a set-up: the session is established there.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -11,6 +11,7 @@
 mod guard;
 mod input;
 mod late;
+mod named_sessions;
 mod queries;
 mod renewal;
 mod requests;
@@ -24,6 +25,7 @@
 pub use effect::{Description, Effect, Failure, SetUp};
 pub use guard::{Guard, History};
 pub use input::Input;
+pub use named_sessions::UnconfirmedStats;
 pub use queries::OpenRequest;
 
 use crate::api::{
@@ -58,6 +60,10 @@
     full_retry_after: Micros,
     /// The number of sessions that were refused because of the memory limit.
     memory_refusals: u64,
+    /// The number of named sessions that were refused, as too many were unconfirmed.
+    unconfirmed_refused: u64,
+    /// The number of unconfirmed sessions that were ended to make room.
+    unconfirmed_expired: u64,
     replayed_state: ReplayedState,
 }
 
@@ -92,6 +98,8 @@
             memory_limit_bytes: usize::MAX,
             full_retry_after: Micros(0),
             memory_refusals: 0,
+            unconfirmed_refused: 0,
+            unconfirmed_expired: 0,
             replayed_state: ReplayedState::default(),
         }
     }
@@ -119,7 +127,10 @@
             Input::Servers { kind, servers } => self.servers_listed(kind, servers),
             Input::FleetPosition(count, place) => self.fleet_position_changed(FleetPosition { count, place }),
             Input::Request(request, offer) => self.handle_request(now, request, offer, out),
-            Input::ExistingSession(request, server) => self.add_existing_session(request, server, out),
+            Input::ExistingSession(request, server) => {
+                self.add_existing_session(now, request, server, out);
+            }
+            Input::NamedSession(request, server) => self.add_named_session(now, request, server, out),
             Input::ClientLeft(id) => self.client_left(id, out),
             Input::Established { id, server, answer } => {
                 self.session_established(now, id, server, answer, out)
@@ -172,6 +183,7 @@
         if !self.is_established_at(id, &server) {
             return;
         }
+        self.sessions.confirm(id);
         if let (Note::Rung(rung), Some(session)) = (note, self.sessions.get_mut(id)) {
             session.rung = Some(rung);
         }
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -1,13 +1,13 @@
-//! Admission of requests and existing sessions, and their removal when clients leave or another process takes over.
+//! Admission of requests, and the removal of sessions when clients leave or another process takes over.
 
 use super::alarms::Alarm;
 use super::sessions::{Placement, Session, Stage, payload_bytes};
 use super::{Broker, Description, Effect};
-use crate::api::{Event, Load, Micros, Request, ServerId, SessionId, Status};
+use crate::api::{Event, Load, Micros, Request, SessionId, Status};
 
 /// An estimate of the memory per session in the broker, the decision module and the client connections, without
 /// its session description and the texts of its request.
-const SESSION_BYTES: usize = 1024;
+pub(super) const SESSION_BYTES: usize = 1024;
 
 /// How long after the deadline of a request the broker answers it if the module has not.
 pub(super) const BACKSTOP_DELAY: Micros = Micros(5_000);
@@ -45,24 +45,6 @@
         self.events.push_back(Event::Request(request));
     }
 
-    /// Adds a session that is already established at a server.
-    pub(super) fn add_existing_session(&mut self, request: Request, server: ServerId, out: &mut Vec<Effect>) {
-        // A client may name a session that is already in the table.
-        if self.sessions.contains(request.id) {
-            return;
-        }
-        // Without a class and a listed server, nothing would ever end the session.
-        if request.class >= self.classes.len() || !self.guard.is_listed(&server) {
-            return out.push(Effect::Ended(request.id, Status::Reset));
-        }
-        if !self.has_room_for(&request, 0) {
-            self.memory_refusals += 1;
-            return out.push(Effect::Ended(request.id, Status::Reset));
-        }
-        self.sessions.insert(Session::established(request.clone(), server.clone()));
-        self.events.push_back(Event::ExistingSession { request, server });
-    }
-
     /// Handles a client that withdrew its request or ended its session.
     pub(super) fn client_left(&mut self, id: SessionId, out: &mut Vec<Effect>) {
         let Some(session) = self.sessions.get(id) else { return };
@@ -124,7 +106,7 @@
     }
 
     /// Whether the memory limit allows one more session, for this request with a description of `offer_bytes`.
-    fn has_room_for(&self, request: &Request, offer_bytes: usize) -> bool {
+    pub(super) fn has_room_for(&self, request: &Request, offer_bytes: usize) -> bool {
         let added = SESSION_BYTES + payload_bytes(request, offer_bytes);
         self.session_bytes().saturating_add(added) <= self.memory_limit_bytes
     }
--- a/src/broker/sessions/mod.rs
+++ b/src/broker/sessions/mod.rs
@@ -4,12 +4,14 @@
 mod session;
 #[cfg(test)]
 mod tests;
+mod unconfirmed;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(super) use session::{Attempt, Placement, Session, Stage, payload_bytes};
 
 use crate::api::{Micros, ServerId, SessionId, Status};
+use unconfirmed::UnconfirmedSessions;
 
 /// All sessions, unanswered or established.
 #[derive(Debug, Default)]
@@ -21,6 +23,8 @@
     established_count: usize,
     /// The total size of the stored texts and descriptions, in bytes.
     payload_bytes: usize,
+    /// The established sessions that no server has confirmed.
+    unconfirmed: UnconfirmedSessions,
 }
 
 impl SessionTable {
@@ -29,6 +33,9 @@
         let id = session.request.id;
         debug_assert!(!self.contains(id), "the session is already in the table");
         self.payload_bytes += session.payload_bytes();
+        if let Some(named_at) = session.unconfirmed_since {
+            self.unconfirmed.insert(named_at, id, session.payload_bytes());
+        }
         if let Some(placement) = session.placement() {
             let server = placement.server.clone();
             self.index(id, server);
@@ -38,6 +45,7 @@
 
     /// Removes a session.
     pub fn remove(&mut self, id: SessionId) -> Option<Session> {
+        self.confirm(id);
         let session = self.sessions.remove(&id)?;
         self.payload_bytes -= session.payload_bytes();
         if let Some(placement) = session.placement() {
@@ -53,6 +61,29 @@
         Some(placement)
     }
 
+    /// Marks a session as confirmed by its server.
+    pub fn confirm(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if let Some(named_at) = session.unconfirmed_since.take() {
+            self.unconfirmed.remove(named_at, id, session.payload_bytes());
+        }
+    }
+
+    /// Returns the unconfirmed session that was named first, with that time.
+    pub fn oldest_unconfirmed(&self) -> Option<(Micros, SessionId)> {
+        self.unconfirmed.oldest()
+    }
+
+    /// The number of unconfirmed sessions.
+    pub fn unconfirmed_count(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
+    /// The size of the texts of unconfirmed sessions, in bytes.
+    pub fn unconfirmed_payload_bytes(&self) -> usize {
+        self.unconfirmed.payload_bytes()
+    }
+
     /// Starts an attempt for a waiting session.
     pub fn start_attempt(&mut self, id: SessionId, attempt: Attempt) {
         let Some(session) = self.sessions.get_mut(&id).filter(|s| s.stage == Stage::Waiting) else { return };
--- a/src/broker/sessions/session.rs
+++ b/src/broker/sessions/session.rs
@@ -45,6 +45,8 @@
     pub request: Request,
     /// The current rung, if known.
     pub rung: Option<Rung>,
+    /// When it was named as established, unless its server has confirmed that or it was set up by this broker.
+    pub(super) unconfirmed_since: Option<Micros>,
     /// The history of its attempts.
     pub history: History,
     /// Whether the last attempt timed out, or the request arrived after its deadline.
@@ -57,14 +59,23 @@
     /// Creates a session for a request that arrived at `now` and waits for its first attempt.
     pub fn new(now: Micros, request: Request, offer: Description) -> Session {
         let timed_out = request.due <= now;
-        Session { request, rung: None, history: History::default(), timed_out, offer, stage: Stage::Waiting }
+        Session {
+            request,
+            rung: None,
+            unconfirmed_since: None,
+            history: History::default(),
+            timed_out,
+            offer,
+            stage: Stage::Waiting,
+        }
     }
 
-    /// Creates a session that is already established at a server.
-    pub fn established(request: Request, server: ServerId) -> Session {
+    /// Creates a session that a client or another process names as established at a server.
+    pub fn named(now: Micros, request: Request, server: ServerId) -> Session {
         Session {
             request,
             rung: None,
+            unconfirmed_since: Some(now),
             history: History { attempts: 1, may_have_run: true, attempt_in_flight: false },
             timed_out: false,
             offer: empty_description(),
--- a/src/broker/sessions/tests.rs
+++ b/src/broker/sessions/tests.rs
@@ -28,7 +28,7 @@
             let offer = Description::from(vec![0; id.0 as usize]);
             table.insert(Session::new(Micros(0), request(id), offer));
         }
-        1 if !table.contains(id) => table.insert(Session::established(request(id), at)),
+        1 if !table.contains(id) => table.insert(Session::named(Micros(0), request(id), at)),
         2 | 3 => table.start_attempt(id, attempt),
         4 => drop(table.end_attempt(id, Status::Reset)),
         5 | 6 => drop(table.establish(id)),
--- a/src/module/brain/choice.rs
+++ b/src/module/brain/choice.rs
@@ -76,7 +76,7 @@
         if live {
             let streams = candidates.iter().filter(|i| self.is_trusted(**i)).flat_map(|i| {
                 let rungs = s.min_rung..=s.max_rung;
-                rungs.map(move |r| (self.count_sharers(*i, id, r), *i, r))
+                rungs.map(move |r| (self.state.count_sharers(*i, id, r), *i, r))
             });
             let largest =
                 streams.filter(|(n, _, _)| *n > 0).max_by_key(|(n, i, r)| (*n, *r, usize::MAX - *i));
--- a/src/module/brain/demand.rs
+++ b/src/module/brain/demand.rs
@@ -4,15 +4,9 @@
 use super::*;
 
 impl Brain {
-    /// Returns how many other viewers of this broker share the stream of a live session at a server and rung.
-    pub(super) fn count_sharers(&self, i: usize, id: SessionId, rung: usize) -> usize {
-        let live = self.settings.classes[self.state.sessions[&id].request.class].live;
-        if live { self.state.count_alike(i, id, rung) } else { 0 }
-    }
-
     /// Returns the demand that a session adds to a server at a rung, in kB per second.
     pub(super) fn added_kb(&self, i: usize, id: SessionId, rung: usize) -> f64 {
-        let (n, class) = (self.count_sharers(i, id, rung), self.state.sessions[&id].request.class);
+        let (n, class) = (self.state.count_sharers(i, id, rung), self.state.sessions[&id].request.class);
         self.settings.stream_kb(class, n + 1, rung) - self.settings.stream_kb(class, n, rung)
     }
 
--- a/src/module/brain/held.rs
+++ b/src/module/brain/held.rs
@@ -207,19 +207,17 @@
             return;
         }
         self.state.held.remove(id);
-        let live = self.settings.classes[self.state.sessions[&id].request.class].live;
         let (min_rung, max_rung) = (self.state.sessions[&id].min_rung, self.state.sessions[&id].max_rung);
         let shared = (min_rung..=max_rung)
             .rev()
-            .map(|r| (self.count_sharers(i, id, r), r))
-            .filter(|(n, _)| live && *n > 0)
+            .map(|r| (self.state.count_sharers(i, id, r), r))
+            .filter(|(n, _)| *n > 0)
             .max();
         let rung = shared.map_or(max_rung, |(_, r)| r);
         let kb = self.added_kb(i, id, rung);
         let (timeout, now) = (self.attempt_timeout(id), self.state.now);
         let retry_window = self.retry_window();
         self.state.add_own_change(i, kb);
-        self.state.servers[i].sessions.insert(id);
         self.state.servers[i].last_sent_at = Some(now);
         let Some(s) = self.state.sessions.get_mut(&id) else { return };
         (s.rung, s.server, s.phase, s.started_at) = (rung, i, Phase::Setup, now);
@@ -228,6 +226,7 @@
             self.state.recent_retries.record(now, retry_window);
         }
         s.attempts += 1;
+        self.state.place(id);
         self.take_seat(id);
         self.cut_rungs(self.state.servers[i].rack, Some((id, kb)), out);
         let rung = Rung(self.state.sessions[&id].rung);
--- a/src/module/brain/mod.rs
+++ b/src/module/brain/mod.rs
@@ -13,6 +13,8 @@
 mod refusals;
 mod retries;
 mod room;
+mod rung_plan;
+mod rung_step;
 mod rungs;
 mod sessions;
 mod shares;
@@ -29,6 +31,7 @@
 use retries::CHECK_INTERVAL;
 use retries::{INITIAL_SETUP_S, PROCESS_STALL, SETUP_TIME_WEIGHT};
 use room::DEFAULT_UTILIZATION;
+use rungs::MIN_CHANGE_INTERVAL;
 use shares::POPULARITY_HALF_LIFE_S;
 use timers::{CHECK_TIMER, DEADLINE_TIMER};
 
@@ -88,6 +91,7 @@
         if now >= self.state.mean_utilization_at + CHECK_INTERVAL {
             self.update_mean_utilization();
         }
+        self.state.settle_rungs(MIN_CHANGE_INTERVAL);
         match event {
             Event::ServerList { kind, servers } => self.update_servers(kind, servers, out),
             Event::Request(request) => self.handle_request(request, out),
@@ -108,6 +112,8 @@
                 self.state.tenants.resize(settings.tenants.len(), (0.0, Micros(0)));
                 self.state.titles.set_max_idle_bytes(settings.idle_title_bytes);
                 self.settings = *settings;
+                let classes = &self.settings.classes;
+                self.state.update_sharing(|class| classes.get(class).is_some_and(|class| class.live));
                 self.reindex_held();
             }
             Event::WarmUpTurnsFrom(from) => self.state.warm_up_turns_from = from,
@@ -141,8 +147,9 @@
 
     fn handle_set_up_done(&mut self, id: SessionId, server: &ServerId, took: Micros, out: &mut Vec<Action>) {
         self.state.mean_setup_s += (took.secs() - self.state.mean_setup_s) * SETUP_TIME_WEIGHT;
-        if let Some(s) = self.state.sessions.get_mut(&id).filter(|s| s.phase == Phase::Setup) {
-            (s.phase, s.started_at) = (Phase::Playing, self.state.now);
+        if self.state.sessions.get(&id).is_some_and(|s| s.phase == Phase::Setup) {
+            let now = self.state.now;
+            self.state.update_session(id, |s| (s.phase, s.started_at) = (Phase::Playing, now));
         }
         if let Some(&i) = self.state.server_indexes.get(server) {
             self.record_answer(i, out);
--- a/src/module/brain/notes.rs
+++ b/src/module/brain/notes.rs
@@ -31,7 +31,7 @@
         let measured_at = if is_at_set_up { now } else { now - self.settings.note_delay };
         match note {
             Note::Rung(rung) => {
-                self.state.sessions.entry(id).and_modify(|s| s.rung = rung.0.min(s.max_rung));
+                self.state.update_session(id, |s| s.rung = rung.0.min(s.max_rung));
                 return;
             }
             Note::Delivered(share) if share < STANDSTILL_DELIVERY => {
--- a/src/module/brain/sessions.rs
+++ b/src/module/brain/sessions.rs
@@ -12,7 +12,7 @@
         let max_rung = request.top.0.min(class.top.0).min(last);
         let worth = class.worth * self.tenant_worth_factor(request.tenant);
         let min_rung = class.floor.0.min(last);
-        let (arrived_at, started_at) = (self.state.now, self.state.now);
+        let (arrived_at, started_at, shares_stream) = (self.state.now, self.state.now, class.live);
         Session {
             min_rung,
             max_rung: max_rung.max(min_rung),
@@ -20,6 +20,7 @@
             arrived_at,
             started_at,
             worth,
+            shares_stream,
             request,
             ..Session::default()
         }
@@ -31,33 +32,34 @@
         if request.class >= self.settings.classes.len() {
             return;
         }
+        self.remove_from_server(id);
         self.remove_session(id);
         self.count_title_request(&mut request);
         let mut session = self.new_session(request, Phase::Playing);
         (session.server, session.attempts, session.rung) = (i, 1, session.min_rung);
         self.state.sessions.insert(id, session);
-        self.state.servers[i].sessions.insert(id);
+        self.state.place(id);
         self.take_seat(id);
     }
 
     /// Removes a session from its server and from the demand there.
     pub(super) fn remove_from_server(&mut self, id: SessionId) {
-        let Some(s) = self.state.sessions.get(&id) else { return };
-        let (i, rung) = (s.server, s.rung);
-        if self.state.servers.get(i).is_some_and(|server| server.sessions.contains(&id)) {
-            let kb = self.added_kb(i, id, rung);
-            self.state.servers[i].sessions.remove(&id);
-            self.state.add_own_change(i, -kb);
+        if !self.state.is_placed(id) {
+            return;
         }
+        let (i, rung) = (self.state.sessions[&id].server, self.state.sessions[&id].rung);
+        let kb = self.added_kb(i, id, rung);
+        self.state.remove_placement(id);
+        self.state.add_own_change(i, -kb);
     }
 
     /// Ends a request that has its final answer or whose viewer left; an open attempt stays until its
     /// outcome.
     pub(super) fn abandon(&mut self, id: SessionId) {
-        match self.state.sessions.get_mut(&id) {
-            Some(s) if s.phase == Phase::Setup => s.phase = Phase::Answered,
-            Some(s) if s.phase == Phase::Held => self.remove_session(id),
-            Some(_) | None => {}
+        match self.state.sessions.get(&id).map(|s| s.phase) {
+            Some(Phase::Setup) => self.state.update_session(id, |s| s.phase = Phase::Answered),
+            Some(Phase::Held) => self.remove_session(id),
+            Some(Phase::Playing | Phase::Answered) | None => {}
         }
     }
 
--- a/src/module/brain/shares.rs
+++ b/src/module/brain/shares.rs
@@ -12,8 +12,6 @@
     /// all streams. The share of a title is C_m = C·√(f_m·L_m)/Σ√(f_i·L_i); a group ends where expected batch
     /// sizes differ by more than one.
     pub(super) fn title_groups(&self, servers_with_room: usize) -> Vec<(BTreeSet<Text>, f64, f64)> {
-        let streams_in_use = self.state.streams_by_title(|class| self.settings.classes[class].live);
-        let streams: usize = streams_in_use.values().map(BTreeSet::len).sum();
         let viewers = self.state.sessions.len() as f64;
         let popularity = |t: &TitleUsage| decayed(t.recent_requests, self.state.now - t.updated_at).max(1e-6);
         let is_held = |title: &Text| self.state.held.first_position(title).is_some();
@@ -22,7 +20,7 @@
         let mut titles: Vec<(&Text, f64, f64)> = rated.collect();
         let total: f64 = titles.iter().map(|t| t.1).sum();
         let roots: f64 = titles.iter().map(|t| (t.1 * t.2).sqrt()).sum();
-        let channels = (streams + servers_with_room) as f64;
+        let channels = (self.state.stream_count + servers_with_room) as f64;
         // Durations within the same power of two count as similar.
         titles.sort_by(|a, b| {
             let by_duration = a.2.log2().floor().total_cmp(&b.2.log2().floor());
@@ -34,7 +32,7 @@
             let share = channels * (popularity * duration_s).sqrt() / roots.max(1e-9);
             // λ·L is the number of current viewers, so that B = f·λ·L/C_m.
             let batch = popularity / total.max(1e-9) * viewers / share.max(1e-9);
-            let in_use = streams_in_use.get(name).map_or(0, BTreeSet::len) as f64;
+            let in_use = self.state.streams_of_title(name) as f64;
             let octave = duration_s.log2().floor();
             match groups.last_mut() {
                 Some(group) if first_of_group.is_some_and(|(b, o)| o == octave && b - batch <= 1.0) => {
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -9,6 +9,7 @@
 use super::lateness::Lateness;
 use super::recent_times::RecentTimes;
 use super::seats::Seats;
+use super::streams::ServerStreams;
 use super::titles::TitleTable;
 pub(crate) use super::titles::TitleUsage;
 use super::uplinks::UplinkEstimate;
@@ -26,6 +27,8 @@
     pub(crate) link: Gauge,
     /// The sessions of this broker at the server.
     pub(crate) sessions: BTreeSet<SessionId>,
+    /// The streams of these sessions.
+    pub(crate) streams: ServerStreams,
     /// When a set-up was last sent there.
     pub(crate) last_sent_at: Option<Micros>,
     pub(crate) consecutive_failures: u32,
@@ -86,27 +89,15 @@
     pub(crate) min_rung: usize,
     pub(crate) max_rung: usize,
     pub(crate) worth: f64,
+    /// When its rung last changed, as long as it may not change again.
     pub(crate) rung_changed_at: Option<Micros>,
+    /// Whether viewers of its class and title share streams.
+    pub(crate) shares_stream: bool,
     /// An attempt that may have run: its server and when it was sent.
     pub(crate) possible_run: Option<(usize, Micros)>,
     pub(crate) tried_servers: Vec<usize>,
 }
 
-/// Sessions that change their rung together: one session of a recorded title, or the viewers of a shared
-/// stream.
-#[derive(Debug)]
-pub(crate) struct RungGroup {
-    pub(crate) ids: Vec<SessionId>,
-    pub(crate) server: usize,
-    pub(crate) class: usize,
-    pub(crate) rung: usize,
-    pub(crate) min_rung: usize,
-    pub(crate) max_rung: usize,
-    pub(crate) worth: f64,
-    pub(crate) may_change: bool,
-    pub(crate) is_playing: bool,
-}
-
 /// A shutdown of this process.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Shutdown {
@@ -139,6 +130,11 @@
     /// Estimated capacities of the racks' uplinks.
     pub(crate) uplink_estimates: Vec<UplinkEstimate>,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
+    /// Sessions at servers whose rung has changed and may not change yet, by the time of the change.
+    pub(crate) settling: BTreeSet<(Micros, SessionId)>,
+    /// The number of streams in use, in all and by title.
+    pub(crate) stream_count: usize,
+    pub(crate) streams_by_title: BTreeMap<Text, usize>,
     pub(crate) deadlines: Deadlines,
     pub(crate) lateness: Lateness,
     pub(crate) held: HeldQueue,
@@ -207,33 +203,4 @@
             }
         }
     }
-
-    /// Returns the streams in use by title.
-    pub(crate) fn streams_by_title(
-        &self,
-        is_live: impl Fn(usize) -> bool,
-    ) -> BTreeMap<Text, BTreeSet<Stream>> {
-        let mut used: BTreeMap<Text, BTreeSet<Stream>> = BTreeMap::new();
-        for (id, s) in self.sessions.iter().filter(|(_, s)| matches!(s.phase, Phase::Playing | Phase::Setup))
-        {
-            let alone = if is_live(s.request.class) { None } else { Some(*id) };
-            used.entry(s.request.title.clone()).or_default().insert((s.server, s.rung, alone));
-        }
-        used
-    }
-
-    /// Returns the number of other sessions at a server and rung with the title and class of this one.
-    pub(crate) fn count_alike(&self, i: usize, id: SessionId, rung: usize) -> usize {
-        let Some(s) = self.sessions.get(&id) else { return 0 };
-        let others =
-            self.servers[i].sessions.iter().filter(|o| **o != id).filter_map(|o| self.sessions.get(o));
-        others
-            .filter(|o| {
-                o.rung == rung && o.request.class == s.request.class && o.request.title == s.request.title
-            })
-            .count()
-    }
 }
-
-/// A stream: its server, its rung and, unless viewers share it, its session.
-pub(crate) type Stream = (usize, usize, Option<SessionId>);
--- a/src/node/connections.rs
+++ b/src/node/connections.rs
@@ -1,8 +1,6 @@
 //! Connection events: accepted, opened, bytes received, closed; and which connection is closed when
 //! descriptors run short.
 
-use std::collections::BTreeSet;
-
 use super::viewer_conn::ViewerConn;
 use super::{Node, Protocol};
 use crate::api::*;
@@ -81,10 +79,10 @@
     /// Closes one client connection when descriptors are short. Among connections without unanswered set-ups,
     /// one that never sent a message goes first, then one without a session, then the one idle the longest.
     pub fn make_room(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let with_session: BTreeSet<ConnId> = self.session_conns.values().copied().collect();
         let idle = self.viewers.iter().filter(|(_, c)| !c.is_closing && c.unanswered.is_empty());
-        let viewer =
-            idle.map(|(conn, c)| ((c.has_spoken, with_session.contains(conn), c.last_used), *conn)).min();
+        let viewer = idle
+            .map(|(conn, c)| ((c.has_spoken, self.session_conns.has_session_on(*conn), c.last_used), *conn))
+            .min();
         let http = self.whip.as_ref().and_then(|whip| whip.longest_idle());
         match (viewer, http) {
             (Some(((has_spoken, _, last_used), conn)), http)
@@ -117,7 +115,7 @@
             ConnectionEnd::Refused | ConnectionEnd::NoAnswer | ConnectionEnd::Unopened => &[],
         };
         if let Some(c) = self.viewers.remove(&conn) {
-            self.session_conns.retain(|_, client_conn| *client_conn != conn);
+            self.session_conns.remove_conn(conn);
             // The client no longer waits for its requests, and it has not received an answer that was only
             // partly written.
             for id in c.unanswered.iter().chain(unfinished) {
--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -72,7 +72,9 @@
     fn concerns_waiting_request(&mut self, input: &Input) -> bool {
         match input {
             Input::ClientLeft(id) => self.hook.withdraw(*id),
-            Input::ExistingSession(request, _) => self.hook.contains(request.id),
+            Input::ExistingSession(request, _) | Input::NamedSession(request, _) => {
+                self.hook.contains(request.id)
+            }
             _ => false,
         }
     }
@@ -187,13 +189,13 @@
                 );
             }
             Effect::Ended(id, status) => {
-                let client_conn = self.session_conns.remove(&id);
+                let client_conn = self.session_conns.remove(id);
                 if let Some(line) = viewer::ended(id, status) {
                     self.send_session_end(now, client_conn, &line, out);
                 }
             }
             Effect::Moved(id) => {
-                let client_conn = self.session_conns.remove(&id);
+                let client_conn = self.session_conns.remove(id);
                 self.send_session_end(now, client_conn, &viewer::moved(id), out);
             }
             Effect::Log(text) => self.log.push(text),
--- a/src/node/ending.rs
+++ b/src/node/ending.rs
@@ -76,7 +76,7 @@
     pub fn last_due(&self, limit: usize) -> Vec<UnansweredRequest> {
         let unanswered = |open: OpenRequest| UnansweredRequest {
             class: super::name_at(&self.names.classes, open.class).to_owned(),
-            conn: self.session_conns.get(&open.id).copied(),
+            conn: self.session_conns.get(open.id),
             id: open.id,
             server: open.server,
             due: open.due,
--- a/src/node/leaving.rs
+++ b/src/node/leaving.rs
@@ -16,8 +16,8 @@
 impl Node {
     /// Returns the client connections that wait for a request. Their input is read before an attempt is sent.
     pub fn requesting_connections(&self, id: SessionId) -> Vec<ConnId> {
-        match self.session_conns.get(&id) {
-            Some(client_conn) => vec![*client_conn],
+        match self.session_conns.get(id) {
+            Some(client_conn) => vec![client_conn],
             None => self.whip.iter().flat_map(|whip| whip.waiters(id)).collect(),
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod operate;
 mod ruled;
 mod servers;
+mod session_conns;
 mod session_ends;
 mod settings;
 mod viewer_conn;
@@ -31,6 +32,7 @@
 use crate::trace::{Event as Traced, Tracer};
 use crate::whip::{self, Title};
 pub use ending::{Remaining, UnansweredRequest};
+use session_conns::SessionConns;
 use viewer_conn::ViewerConn;
 
 /// Share of the memory for sessions and their descriptions. Set-ups that wait for a server hold their
@@ -75,7 +77,7 @@
     /// Requests that wait for the operator's script.
     hook: HookQueue,
     /// The client connection on which each session was set up.
-    session_conns: BTreeMap<SessionId, ConnId>,
+    session_conns: SessionConns,
     /// Session ends that could not be sent as no suitable connection was open, with the time at which each
     /// expires.
     pending_ends: VecDeque<(Micros, Vec<u8>)>,
@@ -134,7 +136,7 @@
                 )
             }),
             hook: HookQueue::new(config.memory / HOOK_MEMORY_DIVISOR),
-            session_conns: BTreeMap::new(),
+            session_conns: SessionConns::default(),
             pending_ends: VecDeque::new(),
             max_pending_ends: session_ends::max_pending_ends(config.memory),
             servers: BTreeMap::new(),
--- a/src/node/operate.rs
+++ b/src/node/operate.rs
@@ -1,7 +1,5 @@
 //! Calls on the operators' console, and the closing of client connections while the broker drains or ends.
 
-use std::collections::BTreeSet;
-
 use super::Node;
 use super::viewer_conn::{UNFINISHED_REASON, ViewerConn};
 use crate::api::{Micros, SessionId};
@@ -56,6 +54,7 @@
             out_of_rotation: self.broker.out_of_rotation(now),
             session_bytes: self.broker.session_bytes(),
             memory_refusals: self.broker.memory_refusals(),
+            unconfirmed: self.broker.unconfirmed_stats(),
             titles: self.broker.title_stats(),
             hook: self.hook_stats(),
         };
@@ -129,8 +128,8 @@
         out: &mut Vec<Command>,
         why: impl Fn(&ViewerConn) -> Option<&'static str>,
     ) {
-        let with_session: BTreeSet<ConnId> = self.session_conns.values().copied().collect();
-        for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !with_session.contains(conn)) {
+        let sessions = &self.session_conns;
+        for (conn, c) in self.viewers.iter_mut().filter(|(conn, _)| !sessions.has_session_on(**conn)) {
             if let Some(reason) = why(c) {
                 c.is_closing = true;
                 out.push(if reason == UNFINISHED_REASON {
--- a/src/node/viewers.rs
+++ b/src/node/viewers.rs
@@ -66,8 +66,10 @@
                 self.apply_effect(now, Effect::Ended(request.id, Status::Reset), out);
             }
             ViewerMessage::ExistingSession(request, server) => {
-                self.session_conns.entry(request.id).or_insert(conn);
-                self.handle_input(now, Input::ExistingSession(request, server.clone()), out);
+                if self.session_conns.get(request.id).is_none() {
+                    self.session_conns.insert(request.id, conn);
+                }
+                self.handle_input(now, Input::NamedSession(request, server.clone()), out);
                 let before = out.len();
                 self.links.ensure_connected(now, &server, out);
                 self.trace_dials(now, &server, "notes", &out[before..]);
@@ -95,7 +97,7 @@
         id: SessionId,
         out: &mut Vec<Command>,
     ) {
-        let own = self.session_conns.get(&id) == Some(&conn);
+        let own = self.session_conns.get(id) == Some(conn);
         let Some(c) = self.viewers.get_mut(&conn) else { return };
         if own || c.unanswered.is_empty() {
             c.has_reused_id = true;
@@ -146,7 +148,7 @@
 
     /// Marks a request as answered and returns the connection that its answer goes out on.
     pub(super) fn settle_request(&mut self, now: Micros, id: SessionId) -> Option<ConnId> {
-        let client_conn = self.session_conns.get(&id).copied();
+        let client_conn = self.session_conns.get(id);
         if let Some(c) = client_conn.and_then(|client_conn| self.viewers.get_mut(&client_conn)) {
             c.unanswered.remove(&id);
             c.last_used = now;
@@ -156,7 +158,7 @@
 
     /// Drops a session from its connection.
     pub(super) fn forget_session(&mut self, id: SessionId) {
-        if let Some(client_conn) = self.session_conns.remove(&id)
+        if let Some(client_conn) = self.session_conns.remove(id)
             && let Some(c) = self.viewers.get_mut(&client_conn)
         {
             c.unanswered.remove(&id);
--- a/src/operate/figures.rs
+++ b/src/operate/figures.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write as _;
 
 use crate::api::{SessionId, TitleStats};
+use crate::broker::UnconfirmedStats;
 use crate::hook::HookStats;
 
 /// The number of answered requests that are kept to count attempts whose write completes after the answer.
@@ -55,6 +56,8 @@
     pub session_bytes: usize,
     /// The number of sessions that were refused for lack of that memory.
     pub memory_refusals: u64,
+    /// Sessions named as established that no server has confirmed.
+    pub unconfirmed: UnconfirmedStats,
     /// The decision module's table of titles.
     pub titles: TitleStats,
     /// The operator's script.
@@ -148,6 +151,9 @@
         line("out_of_rotation", gauges.out_of_rotation as u64);
         line("session_bytes", gauges.session_bytes as u64);
         line("memory_refusals", gauges.memory_refusals);
+        line("unconfirmed_sessions", gauges.unconfirmed.sessions as u64);
+        line("unconfirmed_refused", gauges.unconfirmed.refused);
+        line("unconfirmed_expired", gauges.unconfirmed.expired);
         line("titles", gauges.titles.titles as u64);
         line("idle_title_bytes", gauges.titles.idle_bytes as u64);
         line("titles_evicted", gauges.titles.evicted);
@@ -195,6 +201,7 @@
             out_of_rotation: 2,
             session_bytes: 6000,
             memory_refusals: 7,
+            unconfirmed: UnconfirmedStats { sessions: 15, refused: 16, expired: 17 },
             titles: TitleStats { titles: 8, idle_bytes: 900, evicted: 10 },
             hook: HookStats {
                 is_on: true,
@@ -212,7 +219,9 @@
             broker.operations.paid.faulted=0\nbroker.operations.paid.relayed=3\n\
             broker.open_requests=5\nbroker.unanswered_requests=1\nbroker.playing_sessions=4\n\
             broker.client_connections=3\nbroker.registry_entries=13\nbroker.out_of_rotation=2\n\
-            broker.session_bytes=6000\nbroker.memory_refusals=7\nbroker.titles=8\n\
+            broker.session_bytes=6000\nbroker.memory_refusals=7\n\
+            broker.unconfirmed_sessions=15\nbroker.unconfirmed_refused=16\n\
+            broker.unconfirmed_expired=17\nbroker.titles=8\n\
             broker.idle_title_bytes=900\nbroker.titles_evicted=10\nbroker.hook_on=1\n\
             broker.hook_waiting=11\nbroker.hook_skipped_requests=12\n\
             broker.hook_dropped_outcomes=13\nbroker.hook_failures=14\n\
--- a/src/trace/tracer.rs
+++ b/src/trace/tracer.rs
@@ -82,7 +82,9 @@
                 self.push(now, Event::Withdrawn { id: id_text(*id), server: server.to_string() });
             }
             Input::ClientLeft(id) => self.session_ended(now, *id, None),
-            Input::ExistingSession(request, server) => self.session_adopted(now, request, server),
+            Input::ExistingSession(request, server) | Input::NamedSession(request, server) => {
+                self.session_adopted(now, request, server);
+            }
             _ => {}
         }
     }
