Write nothing on a connection after a check has aborted it

Cause: the last check before a set-up's bytes leave frees the booking, as nothing has run, and aborts the connection to the media server. The abort set a flag that the writer heeds at its next poll only; in the same turn it went on and wrote the set-up.

Change: `Outbox::write_queued` writes nothing once the connection is aborted, and the writer ends with the reason of the abort. That holds for every abort between a check and the write, at servers and at clients.

--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -89,7 +89,8 @@
                 // sessions that are queued here are delivered on another connection.
                 return reason;
             }
-            // Nothing else runs between these checks and the write.
+            // Nothing else runs between these checks and the write, which writes nothing if a check aborted the
+            // connection.
             match outbox.write_queued(|slices| stream.get_ref().write_vectored(slices)) {
                 Ok(0) => return "write-zero",
                 Ok(n) => {
@@ -100,6 +101,7 @@
                     }
                     completed.withdrawals.iter().for_each(|id| report_withdrawn(shared, conn, *id));
                 }
+                Err(_) if outbox.is_aborted() => return outbox.close_reason().unwrap_or_default(),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     // An answer is useful to a client for as long as the client waits for it.
                     let timeout = match peer_kind {
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -85,7 +85,7 @@
 
     /// Whether the connection is to be closed once the peer has closed it too.
     pub fn is_lingering(&self) -> bool {
-        self.lingers.get() && !self.is_aborted.get()
+        self.lingers.get() && !self.is_aborted()
     }
 
     /// Whether no message is queued.
@@ -181,7 +181,7 @@
     pub async fn ready(&self) -> Option<&'static str> {
         loop {
             match self.close_reason.get() {
-                Some(reason) if self.is_aborted.get() || self.queue.borrow().is_empty() => {
+                Some(reason) if self.is_aborted() || self.queue.borrow().is_empty() => {
                     return Some(reason);
                 }
                 _ if !self.queue.borrow().is_empty() => return None,
@@ -191,8 +191,17 @@
         }
     }
 
-    /// Passes the queued messages to one vectored write.
+    /// Whether the connection ends without writing what is queued.
+    pub fn is_aborted(&self) -> bool {
+        self.is_aborted.get()
+    }
+
+    /// Passes the queued messages to one vectored write. Nothing is written after [`Outbox::abort`]: what was decided
+    /// about the queued messages since then relies on that.
     pub fn write_queued(&self, write: impl FnOnce(&[IoSlice<'_>]) -> io::Result<usize>) -> io::Result<usize> {
+        if self.is_aborted() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let queue = self.queue.borrow();
         let from = |i: usize| if i == 0 { self.written_of_first.get() } else { 0 };
         let messages = queue.iter().take(MAX_MESSAGES_PER_WRITE).enumerate();
--- a/src/net/outbox/tests.rs
+++ b/src/net/outbox/tests.rs
@@ -38,6 +38,18 @@
     assert_eq!(outbox.unsent_sessions(), [SessionId(1)]);
 }
 
+/// Guards against a set-up that is withdrawn at the last check, by the end of its connection, and written all the same in
+/// the same turn of the writer.
+#[test]
+fn writes_nothing_after_an_abort() {
+    let outbox = Outbox::default();
+    outbox.push(b"set-up".to_vec(), Some(SessionId(1)));
+    outbox.abort("withdrawn");
+    let written = outbox.write_queued(|_| panic!("the set-up is written"));
+    assert_eq!(written.unwrap_err().kind(), io::ErrorKind::ConnectionAborted);
+    assert_eq!(outbox.unsent_sessions(), [SessionId(1)]);
+}
+
 #[test]
 fn withdraws_set_up_only_before_its_first_byte_is_written() {
     let outbox = Outbox::new(&QueueLimit::new(100, 1));
