Derive the classes of watched titles again at each reload

Cause: titles refer to classes by number, a changed class gets a new number, and watched titles were translated only when their own file changed. The title kept the retired entry, with its laxer effect, in use.

Change: the reload gives each watched title the class and tenant that their names stand for, in the step that puts the settings in force. What lists may name is renewed as well, a name that no class has no longer becomes class 0, and the classes of requests that wait for the script count as in use.

--- a/src/config/sections.rs
+++ b/src/config/sections.rs
@@ -18,10 +18,13 @@
 pub(super) const OPERATIONS: u64 = 100_000;
 
 /// A title as the WHIP front takes it.
-pub fn title(record: &TitleRecord, names: &SettingNames) -> (String, Title) {
-    let tenant = record.tenant.as_ref().and_then(|t| names.tenant(t)).unwrap_or(0);
-    let class = names.class(&record.class).unwrap_or(0);
-    (record.name.clone(), Title { home: record.home, copies: record.copies, class, tenant })
+pub fn title(record: &TitleRecord, names: &SettingNames) -> Option<(String, Title)> {
+    let tenant = match &record.tenant {
+        Some(tenant) => names.defined_tenant(tenant)?,
+        None => 0,
+    };
+    let class = names.defined_class(&record.class)?;
+    Some((record.name.clone(), Title { home: record.home, copies: record.copies, class, tenant }))
 }
 
 fn ms(told: Option<u64>, or: u64) -> Micros {
@@ -31,7 +34,7 @@
 /// Returns the WHIP front.
 pub(super) fn whip(record: &WhipRecord, file: &OperatorFile, names: &SettingNames) -> Whip {
     let setup = whip::WhipConfig {
-        titles: file.title.iter().map(|title| self::title(title, names)).collect(),
+        titles: file.title.iter().filter_map(|title| self::title(title, names)).collect(),
         origin: record.origin.clone().unwrap_or_else(|| "*".to_owned()),
         reclaim: ms(record.reclaim_ms, 10_000),
         spent: ms(record.spent_ms, 24 * 3_600_000),
--- a/src/hook/queue.rs
+++ b/src/hook/queue.rs
@@ -106,6 +106,16 @@
         self.waiting.contains_key(&id)
     }
 
+    /// Whether any waiting request belongs to a class.
+    pub fn uses_class(&self, class: usize) -> bool {
+        self.waiting.values().any(|waiting| waiting.request.class == class)
+    }
+
+    /// Whether any waiting request belongs to a tenant.
+    pub fn uses_tenant(&self, tenant: usize) -> bool {
+        self.waiting.values().any(|waiting| waiting.request.tenant == tenant)
+    }
+
     /// The number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/src/net/files.rs
+++ b/src/net/files.rs
@@ -26,6 +26,7 @@
 use crate::watch::seal;
 use crate::watch::state::{SavedLists, Store};
 use crate::watch::{Act, SetId, Touch, Watch, WatchConfig, WatchEvent};
+use crate::whip::Title;
 
 /// A request to the file thread.
 enum Request {
@@ -33,6 +34,8 @@
     FileEvent(notify::Result<Event>),
     /// The operator asks to read the files now.
     Read,
+    /// The settings have changed, and with them what they allow in a list.
+    Bounds(Bounds),
     /// Lists that are in use are to be saved.
     Save(Box<SavedLists>),
 }
@@ -189,9 +192,13 @@
     fn adopt(&mut self, shared: &Handle, lists: Lists) {
         let old = self.current_lists.as_ref().and_then(|l| l.titles.as_ref());
         if let Some(titles) = lists.titles.as_ref().filter(|new| old != Some(new)) {
-            let named = titles.iter().map(|t| config::title(t, shared.node.borrow().names())).collect();
+            let named = titles.iter().filter_map(|t| config::title(t, shared.node.borrow().names()));
+            let named: BTreeMap<String, Title> = named.collect();
+            // Lists that were read before the settings changed may name a class that is not defined any more.
+            let left_out = (named.len() < titles.len()).then(|| titles.len() - named.len());
+            let digest = lists.digest.short();
+            info!(event = "titles.taken", titles = named.len(), left_out, digest = digest.as_str());
             shared.node.borrow_mut().replace_titles(named);
-            info!(event = "titles.taken", titles = titles.len(), digest = lists.digest.short().as_str());
         }
         self.current_lists = Some(lists);
     }
@@ -365,9 +372,11 @@
     files
 }
 
-/// Asks the file thread to read the files now, for the operator's signal.
-pub(super) fn request_read(files: &Rc<RefCell<WatchedFiles>>) {
-    let _ = files.borrow().requests.send(Request::Read);
+/// Has the files judged by new settings and read now, for the operator's signal.
+pub(super) fn reload(files: &Rc<RefCell<WatchedFiles>>, bounds: &Bounds) {
+    let requests = &files.borrow().requests;
+    let _ = requests.send(Request::Bounds(bounds.clone()));
+    let _ = requests.send(Request::Read);
 }
 
 /// Applies held lists when they are due, and removes dropped servers once the node no longer needs them.
@@ -459,6 +468,7 @@
                 Request::FileEvent(event) => {
                     folder_watcher.forward_event(&mut watch, clock.read(unix_now()), event)
                 }
+                Request::Bounds(bounds) => watch.set_bounds(bounds),
                 Request::Read => watch.asked(clock.read(unix_now())),
                 // Of several requests only the last one needs to be saved.
                 Request::Save(saved) => save = Some(saved),
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -14,8 +14,8 @@
 use crate::config::Config;
 use crate::hook::{CallLimits, HookError};
 use crate::operate::missing_key::missing_key;
-use crate::records::Findings;
-use crate::roster::{ListUpdate, ListedServer, Source};
+use crate::records::{Bounds, Findings};
+use crate::roster::{ListUpdate, ListedServer, SettingNames, Source};
 
 /// Returns an update that replaces the whole server list.
 pub(super) fn complete_list(servers: Vec<ListedServer>) -> ListUpdate {
@@ -69,6 +69,10 @@
     if let Some(script) = script {
         hook::put_in_use(shared, script);
     }
+    // Cells, zones and kinds wait for the next start.
+    let (cells, in_force) = (old.bounds.cells, &old.bounds.names);
+    let (zones, kinds) = (in_force.zones.clone(), in_force.kinds.clone());
+    old.bounds = Bounds { cells, names: SettingNames { zones, kinds, ..new.bounds.names } };
     (old.board, old.known, old.servers, old.raw) = (new.board, new.known, new.servers, new.raw);
     shared.node.borrow_mut().record_reload(true);
     info!(event = "reloaded", last = shared.board.borrow().last_event());
@@ -95,7 +99,7 @@
         match signal {
             Ok(Signal::Hup) => {
                 reload(&shared, &mut config, read_config()).await;
-                files.iter().for_each(files::request_read);
+                files.iter().for_each(|files| files::reload(files, &config.bounds));
             }
             signal => {
                 // The node stops before the log line is written, so that health checks fail from that line on.
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,6 +1,6 @@
 //! Reloads the configuration while requests wait and sessions play.
 
-use super::Node;
+use super::{Node, name_at};
 use crate::api::Micros;
 use crate::broker::Input;
 use crate::config::Config;
@@ -9,6 +9,7 @@
 use crate::platform::timings::Timings;
 use crate::roster::SettingNames;
 use crate::watch::judge::Role;
+use crate::whip::Title;
 
 impl Node {
     /// Applies the settings and the front of a new configuration. Waiting requests and playing
@@ -19,8 +20,14 @@
         let merged = merge(
             (&self.settings, &self.names),
             (&config.settings, &config.names),
-            |class| self.broker.uses_class(class) || titles.iter().any(|(c, _)| *c == class),
-            |tenant| self.broker.uses_tenant(tenant) || titles.iter().any(|(_, t)| *t == tenant),
+            |class| {
+                let is_of_title = titles.iter().any(|(c, _)| *c == class);
+                is_of_title || self.broker.uses_class(class) || self.hook.uses_class(class)
+            },
+            |tenant| {
+                let is_of_title = titles.iter().any(|(_, t)| *t == tenant);
+                is_of_title || self.broker.uses_tenant(tenant) || self.hook.uses_tenant(tenant)
+            },
         );
         self.reload_front(config, &merged);
         let MergedSettings { settings, names, deferred, .. } = merged;
@@ -37,7 +44,7 @@
     }
 
     /// Applies the front of a new configuration; waiting requests and playing sessions are unaffected. Watched
-    /// titles stay as their files have them.
+    /// titles stay as their files have them, with the classes and tenants that their names stand for now.
     fn reload_front(&mut self, config: &Config, merged: &MergedSettings) {
         let watch = config.watch.as_ref();
         if let (Some(whip), Some(new)) = (&mut self.whip, &config.whip) {
@@ -48,9 +55,17 @@
             }
             if watch.is_some_and(|w| w.lists.iter().any(|f| f.role == Role::Titles)) {
                 setup.titles = whip.titles().clone();
+                setup.titles.values_mut().for_each(|title| renumber(title, &self.names, &merged.names));
             }
             whip.reclass(merged.settings.classes.clone());
             whip.reload(setup);
         }
     }
 }
+
+/// Gives a title the class and the tenant that their names stand for in the new settings. Where a name is not defined
+/// any more, the title keeps the entry that it had, which stays as long as a title refers to it.
+fn renumber(title: &mut Title, old: &SettingNames, new: &SettingNames) {
+    title.class = new.defined_class(name_at(&old.classes, title.class)).unwrap_or(title.class);
+    title.tenant = new.defined_tenant(name_at(&old.tenants, title.tenant)).unwrap_or(title.tenant);
+}
--- a/src/roster/listed.rs
+++ b/src/roster/listed.rs
@@ -40,6 +40,16 @@
         SettingNames::current(&self.tenants, &self.retired_tenants, self.recently_changed, name)
     }
 
+    /// Returns the index of the class that the settings in force define under a name.
+    pub fn defined_class(&self, name: &str) -> Option<usize> {
+        SettingNames::current(&self.classes, &self.retired_classes, false, name)
+    }
+
+    /// Returns the index of the tenant that the settings in force define under a name.
+    pub fn defined_tenant(&self, name: &str) -> Option<usize> {
+        SettingNames::current(&self.tenants, &self.retired_tenants, false, name)
+    }
+
     fn current(
         list: &[String],
         retired: &BTreeSet<usize>,
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -193,6 +193,11 @@
         &self.setup
     }
 
+    /// Other bounds from now on: the settings have changed.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// A content that was taken before this start needs no rename to be believed once more.
     pub fn proved(&mut self, set: SetId, digest: Digest) {
         self.proved.insert(set, digest);
