Keep what closures capture until the end of a call, then free it one by one

Cause: captured variables move into cells shared with the closure. The engine's size limits end at closures, so chains of cells get as long as a call likes, and the end of the call dropped them by recursion on a stack of 8 MiB. Cycles of cells were never freed (found on the way).

Change: every captured cell is kept until the call has ended, and emptied one by one then, so no drop goes from one cell into another. Text, JSON and thrown values do not look into closures. The stack of the script's thread follows from the operations and the memory of a call, for the walk of `switch` that is left. Scripts can't use `curry` any more, which nests without a variable.

--- a/src/hook.rs
+++ b/src/hook.rs
@@ -2,6 +2,7 @@
 //! never picks servers and never sends again. It runs on a thread of its own, within limits on the time and the memory
 //! of each call, so that a script that loops or eats memory costs no request its answer.
 
+mod captures;
 mod checked_text;
 mod limits;
 mod queue;
--- a/src/hook/checked_text.rs
+++ b/src/hook/checked_text.rs
@@ -1,7 +1,8 @@
 //! Functions of scripts whose result may be larger than all of their arguments together. The built-in ones check the
-//! size only after they have made the result; these check it before.
+//! size only after they have made the result; these check it before. None of them looks into what a closure has captured,
+//! as that may lead back to the closure.
 
-use rhai::{Array, Dynamic, Engine, EvalAltResult, ImmutableString, Map, Position};
+use rhai::{Array, Dynamic, Engine, EvalAltResult, FnPtr, ImmutableString, Map, Position};
 
 type ScriptResult<T> = Result<T, Box<EvalAltResult>>;
 
@@ -25,8 +26,14 @@
     for name in ["print", "debug", "to_string", "to_debug"] {
         engine.register_fn(name, move |array: &mut Array| checked(array_text, array, max_bytes));
         engine.register_fn(name, move |map: &mut Map| checked(map_text, map, max_bytes));
+        engine.register_fn(name, move |function: &mut FnPtr| ImmutableString::from(function.to_string()));
     }
-    engine.register_fn("to_json", move |map: &mut Map| checked(map_json, map, max_bytes));
+    engine.register_fn("to_json", move |map: &mut Map| {
+        if map.values().any(has_closure) {
+            return Err(EvalAltResult::from("a closure that captures variables has no JSON").into());
+        }
+        checked(map_json, map, max_bytes)
+    });
 }
 
 fn too_large<T>() -> ScriptResult<T> {
@@ -75,6 +82,27 @@
     true
 }
 
+/// Whether a value is, or has among its entries, a closure that has captured variables.
+fn has_closure(value: &Dynamic) -> bool {
+    if let Some(function) = value.read_lock::<FnPtr>() {
+        return function.is_curried();
+    }
+    if let Ok(array) = value.as_array_ref() {
+        return array.iter().any(has_closure);
+    }
+    value.as_map_ref().is_ok_and(|map| map.values().any(has_closure))
+}
+
+/// Renders a value as `throw` shows it, unless its text may be longer than `max_bytes`.
+pub(super) fn value_text_within(value: &Dynamic, max_bytes: usize) -> Option<String> {
+    let mut budget = max_bytes;
+    if !fits(value, &mut budget) {
+        return None;
+    }
+    let text = value.as_immutable_string_ref().map(|text| text.to_string());
+    Some(text.unwrap_or_else(|_| value_text(value)))
+}
+
 fn value_text(value: &Dynamic) -> String {
     if let Ok(text) = value.as_immutable_string_ref() {
         return format!("{:?}", text.as_str());
--- a/src/hook/limits.rs
+++ b/src/hook/limits.rs
@@ -5,12 +5,20 @@
 
 use rustix::time::{ClockId, clock_gettime};
 
+use super::script::MAX_ENTRIES;
 use crate::memory::allocated_bytes;
 
 /// The processor time that one call may take. Usual scripts take microseconds.
 const MAX_CALL_TIME: Duration = Duration::from_millis(50);
 /// The share of the process's memory that one call may allocate.
 const CALL_MEMORY_DIVISOR: usize = 16;
+/// The most levels of lists and maps in one value without closures: the entries of all levels together count against
+/// [`MAX_ENTRIES`], for lists and for maps.
+const MAX_CONTAINER_LEVELS: usize = 2 * MAX_ENTRIES;
+/// A level of nested values takes at least this much memory.
+const MIN_LEVEL_BYTES: usize = 64;
+/// More stack than any walk over nested values needs for one level. Code without optimization needs more.
+const STACK_BYTES_PER_LEVEL: usize = if cfg!(debug_assertions) { 2048 } else { 512 };
 
 /// What one call of a script may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +37,15 @@
         let memory_bytes = process_memory_bytes / CALL_MEMORY_DIVISOR;
         CallLimits { operations, time: MAX_CALL_TIME, memory_bytes }
     }
+
+    /// The stack that a thread needs for a call. The engine walks over nested values by recursion, and closures nest as
+    /// deep as a call gets: each level takes an operation to make, and memory. The system gives a thread only as much of
+    /// its stack as it has used.
+    pub fn stack_bytes(&self) -> usize {
+        let by_operations = usize::try_from(self.operations).unwrap_or(usize::MAX);
+        let closure_levels = by_operations.min(self.memory_bytes / MIN_LEVEL_BYTES);
+        closure_levels.saturating_add(MAX_CONTAINER_LEVELS).saturating_mul(STACK_BYTES_PER_LEVEL)
+    }
 }
 
 /// Measures what the current call of a script uses.
--- a/src/hook/script.rs
+++ b/src/hook/script.rs
@@ -5,6 +5,7 @@
 use rhai::packages::{Package, StandardPackage};
 use rhai::{AST, Dynamic, Engine, EvalAltResult, Map, Scope};
 
+use super::captures::Captures;
 use super::limits::CallMeter;
 use super::{Call, CallLimits, Decision, HookError, Reply, RequestFacts, checked_text};
 use crate::api::{Micros, Rung, SessionId};
@@ -12,12 +13,14 @@
 /// The longest text, and the most bytes of all texts of one value.
 const MAX_TEXT_BYTES: usize = 64 * 1024;
 /// The most entries of a list or a map.
-const MAX_ENTRIES: usize = 4 * 1024;
+pub(super) const MAX_ENTRIES: usize = 4 * 1024;
 /// The most nested calls.
 const MAX_CALL_LEVELS: usize = 16;
 /// The deepest nesting of expressions, outside of functions and in them.
 const MAX_EXPRESSION_DEPTH: usize = 64;
 const MAX_FUNCTION_EXPRESSION_DEPTH: usize = 32;
+/// The longest text of a thrown value in the reason of an error.
+const MAX_THROWN_TEXT_BYTES: usize = 1024;
 /// The longest script; it bounds the time and the memory for compiling it.
 const MAX_SCRIPT_BYTES: usize = 64 * 1024;
 const ON_REQUEST: &str = "on_request";
@@ -28,6 +31,7 @@
     engine: Engine,
     program: AST,
     meter: Rc<CallMeter>,
+    captures: Rc<Captures>,
     has_on_request: bool,
     has_on_outcome: bool,
 }
@@ -39,18 +43,26 @@
             return Err(HookError(format!("longer than {} KiB", MAX_SCRIPT_BYTES / 1024)));
         }
         let meter = Rc::new(CallMeter::new(limits));
-        let engine = engine(&limits, meter.clone());
+        let captures = Rc::new(Captures::default());
+        let engine = engine(&limits, meter.clone(), &captures);
         let program = engine.compile(text).map_err(|e| HookError(format!("can't be read: {e}")))?;
         let has = |name: &str| program.iter_functions().any(|f| f.name == name && f.params.len() == 1);
         let (has_on_request, has_on_outcome) = (has(ON_REQUEST), has(ON_OUTCOME));
         if !has_on_request && !has_on_outcome {
             return Err(HookError("has neither on_request(request) nor on_outcome(outcome)".into()));
         }
-        Ok(Script { engine, program, meter, has_on_request, has_on_outcome })
+        Ok(Script { engine, program, meter, captures, has_on_request, has_on_outcome })
     }
 
-    /// Makes a call. A function that the script does not have lets every request pass.
+    /// Makes a call. A function that the script does not have lets every request pass. The stack of the thread must have
+    /// [`CallLimits::stack_bytes`].
     pub fn call(&self, call: &Call) -> Reply {
+        let reply = self.reply(call);
+        self.captures.empty();
+        reply
+    }
+
+    fn reply(&self, call: &Call) -> Reply {
         match call {
             Call::Request(facts) if self.has_on_request => self.on_request(facts).map(Some),
             Call::Request(facts) => Ok(Some(Decision::Pass(facts.top))),
@@ -87,11 +99,14 @@
 }
 
 /// Creates an engine whose calls end once they exceed a limit.
-fn engine(limits: &CallLimits, meter: Rc<CallMeter>) -> Engine {
+fn engine(limits: &CallLimits, meter: Rc<CallMeter>, captures: &Rc<Captures>) -> Engine {
     let mut engine = Engine::new_raw();
     StandardPackage::new().register_into_engine(&mut engine);
     checked_text::register(&mut engine, MAX_TEXT_BYTES);
     engine.disable_symbol("eval");
+    // It nests values in a function pointer without a variable. Closures do not need it to capture.
+    engine.disable_symbol("curry");
+    captures.register(&mut engine);
     engine.set_max_operations(limits.operations.max(1));
     engine.set_max_call_levels(MAX_CALL_LEVELS);
     engine.set_max_expr_depths(MAX_EXPRESSION_DEPTH, MAX_FUNCTION_EXPRESSION_DEPTH);
@@ -104,10 +119,16 @@
     engine
 }
 
-/// Returns the reason of an error on one line.
+/// Returns the reason of an error on one line. A thrown value is rendered within limits, as it may be a closure whose
+/// variables lead back to it.
 fn reason(error: &EvalAltResult) -> String {
     match error.unwrap_inner() {
         EvalAltResult::ErrorTerminated(limit, _) => limit.to_string(),
+        EvalAltResult::ErrorRuntime(thrown, position) => {
+            let text = checked_text::value_text_within(thrown, MAX_THROWN_TEXT_BYTES);
+            let text = text.unwrap_or_else(|| format!("a value of type {}", thrown.type_name()));
+            format!("Runtime error: {text} ({position})").replace('\n', " ")
+        }
         _ => error.to_string().replace('\n', " "),
     }
 }
--- a/src/net/hook.rs
+++ b/src/net/hook.rs
@@ -15,8 +15,6 @@
 
 /// How long a new script may take until it is compiled.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(250);
-/// The stack of the thread: as much as the main thread has, as scripts may nest values deeply.
-const STACK_BYTES: usize = 8 * 1024 * 1024;
 
 /// The channels of a script's thread. The thread ends once they are dropped, at the end of its current call.
 pub(super) struct ScriptThread {
@@ -77,7 +75,7 @@
             answer_calls(&script, &call_receiver, &reply_sender);
         }
     };
-    let thread = thread::Builder::new().name("hook".to_owned()).stack_size(STACK_BYTES);
+    let thread = thread::Builder::new().name("hook".to_owned()).stack_size(limits.stack_bytes());
     thread.spawn(run).map_err(|e| HookError(format!("no thread: {e}")))?;
     let result = async { load_result.recv().await.unwrap_or_else(|_| Err(stopped())) };
     let timeout = async {
