Bound what clients' unhandled input holds over all connections

Here 500 clients that send far ahead of a request that a silent server leaves open took a broker of 48 MB to 49 MB.

Cause: what a client has sent and the broker can't handle yet was limited for each connection only, and buffers kept the size that they once had.

Change: the memory held by unhandled input is counted over all client connections, 1/16 of memory_mb. Beyond it a client with more than its share is let go (reason=too-much-input). Buffers give up what they do not need.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -49,6 +49,18 @@
         self.buffer.len() + self.partial.as_ref().map_or(0, |(request, _)| request.body.len())
     }
 
+    /// The memory that the bytes received so far hold, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity() + self.partial.as_ref().map_or(0, |(request, _)| request.body.capacity())
+    }
+
+    /// Gives up memory that the received bytes do not need.
+    fn shrink(&mut self) {
+        if self.buffer.capacity() > 2 * self.buffer.len() {
+            self.buffer.shrink_to_fit();
+        }
+    }
+
     /// Whether some bytes of a request have arrived that has not been returned yet.
     pub fn has_partial_request(&self) -> bool {
         self.partial.is_some() || !self.buffer.is_empty()
@@ -70,6 +82,12 @@
     /// Returns the next complete request, or `None` until more bytes arrive. A body longer than `max_body_bytes` is an
     /// error.
     pub fn next_request(&mut self, max_body_bytes: usize) -> Result<Option<Request>, HttpError> {
+        let request = self.decode_request(max_body_bytes);
+        self.shrink();
+        request
+    }
+
+    fn decode_request(&mut self, max_body_bytes: usize) -> Result<Option<Request>, HttpError> {
         if self.partial.is_none() {
             let Some((request, body, length)) = read_head(&self.buffer)? else { return Ok(None) };
             self.buffer.drain(..length);
--- a/src/message/line.rs
+++ b/src/message/line.rs
@@ -118,6 +118,11 @@
         !self.buffer.is_empty()
     }
 
+    /// The memory that the bytes received so far hold, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.held_bytes()
+    }
+
     /// Decodes the next complete message; returns `None` if more bytes are needed. Blank lines are skipped.
     pub fn next_line(&mut self) -> Result<Option<Line>, Malformed> {
         loop {
@@ -127,7 +132,7 @@
                 if bytes.len() >= MAX_MESSAGE_BYTES {
                     return Err(Malformed::TooLarge);
                 }
-                self.buffer.free_if_empty();
+                self.buffer.shrink();
                 return Ok(None);
             };
             let end = self.searched + end;
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -106,6 +106,18 @@
             *self = ReadBuffer::default();
         }
     }
+
+    /// Gives up memory that the unread bytes do not need.
+    fn shrink(&mut self) {
+        if self.bytes.capacity() > 2 * self.unread().len() {
+            *self = ReadBuffer { bytes: self.unread().to_vec(), start: 0 };
+        }
+    }
+
+    /// The memory that it holds, in bytes.
+    fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
 }
 
 /// Cause codes of releases.
--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -12,9 +12,10 @@
 
 use super::outbox::Outbox;
 use super::presence::{self, connection_end};
+use super::queues::QueuedBytes;
 use super::reading::{error_code, with_timeout};
 use super::room::ServerSlot;
-use super::{Handle, report_withdrawn, step, to_duration};
+use super::{ClientSocket, Handle, report_withdrawn, step, to_duration};
 use crate::node::Protocol;
 use crate::platform::links::{ConnId, ConnectionEnd};
 
@@ -199,10 +200,11 @@
     let outbox = Rc::new(Outbox::new(&shared.queue_limits.clients));
     let conn = step(&shared, |node, _, _| node.allocate_conn_id());
     shared.outboxes.borrow_mut().insert(conn, outbox.clone());
-    shared.client_streams.borrow_mut().insert(conn, stream.clone());
+    let input = QueuedBytes::new(&shared.queue_limits.input);
+    shared.client_sockets.borrow_mut().insert(conn, ClientSocket { stream: stream.clone(), input });
     step(&shared, |node, now, _| node.accepted(now, conn, protocol));
     let reason = drive(&shared, conn, &stream, &outbox, PeerKind::Client).await;
-    shared.client_streams.borrow_mut().remove(&conn);
+    shared.client_sockets.borrow_mut().remove(&conn);
     if outbox.is_closing() {
         linger(&shared, &stream, &outbox).await;
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -50,16 +50,23 @@
 use clock::{Clock, unix_now};
 use conns::dial_server;
 use outbox::{Notify, Outbox};
-use queues::QueueLimits;
+use queues::{QueueLimits, QueuedBytes};
 use reading::READ_BUFFER_BYTES;
 
+/// The socket of a client.
+struct ClientSocket {
+    stream: Rc<Async<TcpStream>>,
+    /// The memory held by what it has sent and the node has not handled yet.
+    input: QueuedBytes,
+}
+
 /// The state that all tasks of the process share. They run on one thread.
 struct Shared {
     executor: Rc<LocalExecutor<'static>>,
     node: RefCell<Node>,
     outboxes: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
     /// The clients' sockets, and the notice board's: they are read before a set-up is sent on a client's behalf.
-    client_streams: RefCell<BTreeMap<ConnId, Rc<Async<TcpStream>>>>,
+    client_sockets: RefCell<BTreeMap<ConnId, ClientSocket>>,
     board_stream: RefCell<Option<Rc<Async<TcpStream>>>>,
     /// Why the notice board's connection has ended, until the task that follows the board handles it.
     board_end_reason: Cell<Option<&'static str>>,
@@ -111,7 +118,7 @@
             executor: Rc::new(LocalExecutor::new()),
             node: RefCell::new(node),
             outboxes: RefCell::new(BTreeMap::new()),
-            client_streams: RefCell::default(),
+            client_sockets: RefCell::default(),
             board_stream: RefCell::default(),
             board_end_reason: Cell::default(),
             clock: Clock::default(),
--- a/src/net/presence.rs
+++ b/src/net/presence.rs
@@ -21,6 +21,17 @@
         step(shared, |node, now, _| node.keep_open(now, conn));
     }
     step(shared, |node, now, out| node.bytes(now, conn, bytes, out));
+    limit_input(shared, conn, outbox);
+}
+
+/// Ends a client's connection if clients' unhandled input uses up its memory, and this client holds more than its share.
+fn limit_input(shared: &Handle, conn: ConnId, outbox: &Outbox) {
+    let sockets = shared.client_sockets.borrow();
+    let Some(client) = sockets.get(&conn) else { return };
+    client.input.set(shared.node.borrow().held_input_bytes(conn));
+    if client.input.exceeds_limit() {
+        outbox.abort("too-much-input");
+    }
 }
 
 /// Passes the input that has already arrived on a connection to the node. Returns the reason code if the peer has
@@ -63,7 +74,7 @@
 
 /// Handles the input of a client that has already arrived, and its disconnection.
 pub(super) fn deliver_available_from_client(shared: &Handle, conn: ConnId) {
-    let stream = shared.client_streams.borrow().get(&conn).cloned();
+    let stream = shared.client_sockets.borrow().get(&conn).map(|client| client.stream.clone());
     let outbox = shared.outboxes.borrow().get(&conn).cloned();
     let (Some(stream), Some(outbox)) = (stream, outbox) else { return };
     if let Some(reason) = deliver_available(shared, conn, &stream, &outbox) {
--- a/src/net/queues.rs
+++ b/src/net/queues.rs
@@ -1,4 +1,4 @@
-//! Limits on the bytes that wait to be written. They are counted over all connections of one kind, so that one
+//! Limits on the bytes that wait to be written, and on those that were read and wait to be handled. They are counted over all connections of one kind, so that one
 //! connection may have a long queue while the others' queues are short, and memory is bounded nevertheless.
 
 use std::cell::Cell;
@@ -13,6 +13,10 @@
 /// sessions and their descriptions, as each description that is held may wait here once more.
 const SERVER_MEMORY_DIVISOR: usize = 4;
 
+/// What clients have sent and the broker can't handle yet may hold this fraction of the memory: 1/16, and in the worst case
+/// twice as much, as above.
+const INPUT_MEMORY_DIVISOR: usize = 16;
+
 /// The limit on the queued bytes of all connections of one kind.
 #[derive(Debug, Default)]
 pub struct QueueLimit {
@@ -46,6 +50,12 @@
         QueuedBytes { limit: limit.clone(), bytes: Cell::new(0) }
     }
 
+    /// Replaces the count.
+    pub fn set(&self, bytes: usize) {
+        self.sub(self.bytes.get());
+        self.add(bytes);
+    }
+
     /// Counts bytes that are queued.
     pub fn add(&self, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
@@ -71,11 +81,13 @@
     }
 }
 
-/// The limits on queues towards clients and towards edge servers.
+/// The limits on queues towards clients and towards edge servers, and on clients' input.
 #[derive(Debug)]
 pub(super) struct QueueLimits {
     pub(super) clients: Rc<QueueLimit>,
     pub(super) servers: Rc<QueueLimit>,
+    /// Bytes that clients have sent and that are not handled yet.
+    pub(super) input: Rc<QueueLimit>,
 }
 
 impl QueueLimits {
@@ -84,6 +96,7 @@
         QueueLimits {
             clients: QueueLimit::new(memory_bytes / CLIENT_MEMORY_DIVISOR, budget.clients),
             servers: QueueLimit::new(memory_bytes / SERVER_MEMORY_DIVISOR, budget.servers),
+            input: QueueLimit::new(memory_bytes / INPUT_MEMORY_DIVISOR, budget.clients),
         }
     }
 }
--- a/src/node/connections.rs
+++ b/src/node/connections.rs
@@ -30,6 +30,14 @@
         self.pool.opened(now, conn, out);
     }
 
+    /// The memory that the bytes received on a client connection and not handled yet hold, in bytes.
+    pub fn held_input_bytes(&self, conn: ConnId) -> usize {
+        match self.viewers.get(&conn) {
+            Some(viewer) => viewer.decoder.held_bytes(),
+            None => self.whip.as_ref().map_or(0, |whip| whip.held_bytes(conn)),
+        }
+    }
+
     /// Handles bytes received on a connection.
     pub fn bytes(&mut self, now: Micros, conn: ConnId, bytes: &[u8], out: &mut Vec<Command>) {
         if self.links.has(conn) {
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -37,6 +37,11 @@
         self.decoder.feed(bytes);
     }
 
+    /// The memory that the bytes received so far hold, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.decoder.held_bytes()
+    }
+
     /// Whether a message has begun that is not complete yet.
     pub fn has_partial_message(&self) -> bool {
         self.decoder.has_partial_message()
--- a/src/whip/mod.rs
+++ b/src/whip/mod.rs
@@ -226,6 +226,11 @@
         self.conns.insert(conn, Conn { used: now, ..Conn::default() });
     }
 
+    /// The memory that the bytes which a connection has received hold, in bytes.
+    pub fn held_bytes(&self, conn: ConnId) -> usize {
+        self.conns.get(&conn).map_or(0, |c| c.decoder.held_bytes())
+    }
+
     /// Bytes came. `nothing_ran` tells of a session that is being set up whether that is certain.
     pub fn bytes(
         &mut self,
