Keep titles in order of popularity and leave others out of held groups

Cause (perf on a release build): `title_groups` collected and sorted all titles by text at each check, and put each of them into a set.

Change: the table of titles keeps the order itself and counts the streams of each title; a group holds only its held titles. The groups are the same.

--- a/src/module/brain/held.rs
+++ b/src/module/brain/held.rs
@@ -174,11 +174,13 @@
         let ready = (0..self.state.servers.len()).filter(ready);
         let servers_with_room = ready.filter(|i| self.utilization_after(*i, 0.0) < TOP_RUNG_LIMIT).count();
         let mut spare_servers = servers_with_room;
-        for (titles, in_use, share) in self.title_groups(servers_with_room) {
-            let mut streams_left = share - in_use;
+        for group in self.title_groups(servers_with_room) {
+            let mut streams_left = group.share - group.streams_in_use;
             // In order of arrival within the group; all held sessions of a title are sent together.
-            let first_of_titles =
-                titles.iter().filter_map(|title| Some((self.state.held.first_position(title)?, title)));
+            let first_of_titles = group
+                .held_titles
+                .iter()
+                .filter_map(|title| Some((self.state.held.first_position(title)?, title)));
             for (_, title) in first_of_titles.collect::<BTreeMap<QueuePosition, &Text>>() {
                 if streams_left < 1.0 && spare_servers == 0 {
                     break;
--- a/src/module/placements.rs
+++ b/src/module/placements.rs
@@ -1,7 +1,7 @@
 //! Which session is at which server, and the streams that follow from it. Whatever changes a figure of a session that is
 //! at a server goes through here, so that the index of streams is always up to date. Bookkeeping only, no decisions.
 
-use super::api::{Micros, SessionId, Text};
+use super::api::{Micros, SessionId};
 use super::state::{ModuleState, Phase, Session};
 use super::streams::{Viewer, Worth};
 
@@ -109,11 +109,6 @@
         stream.map(|stream| stream.active().iter().copied().collect()).unwrap_or_default()
     }
 
-    /// Returns the number of streams of a title in use.
-    pub(crate) fn streams_of_title(&self, title: &Text) -> usize {
-        self.streams_by_title.get(title).copied().unwrap_or(0)
-    }
-
     fn index_stream(&mut self, id: SessionId) {
         let Some(session) = self.sessions.get(&id) else { return };
         let (viewer, i, title) = (viewer(id, session), session.server, session.request.title.clone());
@@ -124,7 +119,7 @@
         self.servers[i].streams.add(&viewer);
         if starts_stream {
             self.stream_count += 1;
-            *self.streams_by_title.entry(title).or_default() += 1;
+            self.titles.add_stream(&title);
         }
     }
 
@@ -137,7 +132,7 @@
         self.servers[i].streams.remove(&viewer);
         if viewer.is_active && self.active_others(i, &viewer) == 0 {
             self.stream_count -= 1;
-            self.remove_stream_of_title(&title);
+            self.titles.remove_stream(&title);
         }
     }
 
@@ -147,12 +142,4 @@
         let stream = self.servers[i].streams.shared(viewer.class, viewer.rung, title);
         stream.map_or(0, |stream| stream.active().len())
     }
-
-    fn remove_stream_of_title(&mut self, title: &Text) {
-        let Some(streams) = self.streams_by_title.get_mut(title) else { return };
-        *streams -= 1;
-        if *streams == 0 {
-            self.streams_by_title.remove(title);
-        }
-    }
 }
--- a/src/module/state.rs
+++ b/src/module/state.rs
@@ -132,9 +132,8 @@
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     /// Sessions at servers whose rung has changed and may not change yet, by the time of the change.
     pub(crate) settling: BTreeSet<(Micros, SessionId)>,
-    /// The number of streams in use, in all and by title.
+    /// The number of streams in use.
     pub(crate) stream_count: usize,
-    pub(crate) streams_by_title: BTreeMap<Text, usize>,
     pub(crate) deadlines: Deadlines,
     pub(crate) lateness: Lateness,
     pub(crate) held: HeldQueue,
--- a/src/module/titles.rs
+++ b/src/module/titles.rs
@@ -1,12 +1,13 @@
 //! The popularity of titles. Titles without a session are kept in bounded memory, as clients may name any
 //! number of titles of any length. Bookkeeping only, no decisions.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::api::{Micros, Text, TitleStats};
 
-/// Approximate memory of one title in both indexes, without its text.
-const ENTRY_BYTES: usize = 192;
+/// Approximate memory of one title in all indexes, without its text.
+const ENTRY_BYTES: usize = 256;
 
 /// The popularity of a title and the estimated duration of its sessions.
 #[derive(Clone, Debug)]
@@ -24,12 +25,31 @@
     usage: TitleUsage,
     /// The number of sessions with this title.
     sessions: usize,
+    /// The number of streams of this title in use.
+    streams: usize,
+}
+
+/// The power of two of an estimated duration, and then the popularity, the highest first: popularity decays at one rate for
+/// all, so a title that expires later is more popular at any time.
+type PopularityRank = (i32, Reverse<Micros>, Text);
+
+fn rank(title: &Text, usage: &TitleUsage) -> PopularityRank {
+    (usage.duration_octave(), Reverse(usage.expires_at), title.clone())
+}
+
+impl TitleUsage {
+    /// Returns the power of two at or below the estimated duration; durations with the same one count as similar.
+    pub(crate) fn duration_octave(&self) -> i32 {
+        self.duration_hint_s.log2().floor() as i32
+    }
 }
 
 /// The titles of all sessions, and the most popular of the others that were requested recently.
 #[derive(Debug, Default)]
 pub(crate) struct TitleTable {
     entries: BTreeMap<Text, Entry>,
+    /// All titles, those of similar durations together and the most popular of them first.
+    by_popularity: BTreeSet<PopularityRank>,
     /// The titles without a session. Popularity decays at one rate for all, so the first to expire is always
     /// the least popular.
     idle: BTreeSet<(Micros, Text)>,
@@ -59,14 +79,32 @@
         self.entries.get(title).map(|entry| &entry.usage).filter(|usage| usage.expires_at > now)
     }
 
-    /// Returns the usage of all titles that have not expired, and of those that `is_held` returns true for.
-    pub(crate) fn iter(
+    /// Returns the usage and the streams in use of all titles that have not expired, and of those that `is_held` returns
+    /// true for: titles of similar durations together, and the most popular of them first.
+    pub(crate) fn by_popularity(
         &self,
         now: Micros,
         is_held: impl Fn(&Text) -> bool,
-    ) -> impl Iterator<Item = (&Text, &TitleUsage)> {
-        let entries = self.entries.iter().map(|(title, entry)| (title, &entry.usage));
-        entries.filter(move |(title, usage)| usage.expires_at > now || is_held(title))
+    ) -> impl Iterator<Item = (&Text, &TitleUsage, usize)> {
+        let entries = self.by_popularity.iter().filter_map(|(.., title)| {
+            let entry = self.entries.get(title)?;
+            Some((title, &entry.usage, entry.streams))
+        });
+        entries.filter(move |(title, usage, _)| usage.expires_at > now || is_held(title))
+    }
+
+    /// Counts a stream of a title that begins.
+    pub(crate) fn add_stream(&mut self, title: &Text) {
+        if let Some(entry) = self.entries.get_mut(title) {
+            entry.streams += 1;
+        }
+    }
+
+    /// Counts a stream of a title that ends.
+    pub(crate) fn remove_stream(&mut self, title: &Text) {
+        if let Some(entry) = self.entries.get_mut(title) {
+            entry.streams = entry.streams.saturating_sub(1);
+        }
     }
 
     /// Adds a session, with the usage of its title from now on. Returns the text that all sessions of the
@@ -77,13 +115,18 @@
             if entry.sessions == 0 {
                 self.unindex_idle(&shared, entry.usage.expires_at);
             }
-            self.entries.entry(shared.clone()).and_modify(|entry| {
-                entry.usage = usage;
+            self.by_popularity.insert(rank(&shared, &usage));
+            if let Some(entry) = self.entries.get_mut(&shared) {
+                let before = rank(&shared, &std::mem::replace(&mut entry.usage, usage));
                 entry.sessions += 1;
-            });
+                if before != rank(&shared, &entry.usage) {
+                    self.by_popularity.remove(&before);
+                }
+            }
             return shared;
         }
-        self.entries.insert(title.clone(), Entry { usage, sessions: 1 });
+        self.by_popularity.insert(rank(title, &usage));
+        self.entries.insert(title.clone(), Entry { usage, sessions: 1, streams: 0 });
         title.clone()
     }
 
@@ -126,7 +169,9 @@
     fn remove_first_idle(&mut self) {
         let Some((expires_at, title)) = self.idle.first().cloned() else { return };
         self.unindex_idle(&title, expires_at);
-        self.entries.remove(&title);
+        if let Some(entry) = self.entries.remove(&title) {
+            self.by_popularity.remove(&rank(&title, &entry.usage));
+        }
     }
 
     fn unindex_idle(&mut self, title: &Text, expires_at: Micros) {
--- a/src/module/titles/tests.rs
+++ b/src/module/titles/tests.rs
@@ -33,8 +33,8 @@
     assert!(std::sync::Arc::ptr_eq(&first, &second), "sessions share the text of their title");
     table.remove_expired(Micros(9));
     table.remove_session(&second);
-    assert_eq!(table.iter(Micros(9), |_| true).count(), 1);
-    assert_eq!(table.iter(Micros(9), |_| false).count(), 0, "it no longer counts as popular");
+    assert_eq!(table.by_popularity(Micros(9), |_| true).count(), 1);
+    assert_eq!(table.by_popularity(Micros(9), |_| false).count(), 0, "it no longer counts as popular");
     table.remove_session(&first);
     assert_eq!(table.stats(), TitleStats { titles: 0, idle_bytes: 0, evicted: 1 });
 }
