Let other connections run after each write of one

Cause: before an answer leaves, the writer of a connection reads what its client has sent. It waits only when there is nothing to write or the client takes nothing, so a client whose messages each cause an answer kept it busy for ever, and no other task ran (99.9% of the profile).

Change: the writer yields after each write.

--- a/src/net/conns.rs
+++ b/src/net/conns.rs
@@ -101,6 +101,9 @@
                         shared.node.borrow_mut().record_fully_written(now, conn, &completed.sessions);
                     }
                     completed.withdrawals.iter().for_each(|id| report_withdrawn(shared, conn, *id));
+                    // Yields, because a peer that causes and takes answers without a pause would otherwise block all
+                    // other connections: the check above reads what it sends.
+                    future::yield_now().await;
                 }
                 Err(_) if outbox.is_aborted() => return outbox.close_reason().unwrap_or_default(),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
